Whole path, thin: daemon, operators' tool, stand-ins and demonstration

Cause: every later change has to be measured on the real path, so that path comes first.

Change: package jaypier (slices notes, membership, scheduling, workers, requests, operators, platform, wire, core), daemon jaypierd, tool jaypier, stand-ins for platform, workers and endpoints as processes, make demo and make test.

Before: nothing.

--- /dev/null
+++ b/src/jaypier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool ``jaypier``."""
--- /dev/null
+++ b/src/jaypier/cli/client.py
@@ -0,0 +1,129 @@
+"""Calls the daemons' HTTP interface from the command line."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+
+from jaypier.core.address import Address
+from jaypier.core.errors import JaypierError
+from jaypier.wire.client import ConnectionPool
+from jaypier.wire.errors import TransportError
+from jaypier.wire.messages import HttpRequest
+
+CALL_TIMEOUT = 10.0
+"""Seconds to wait for one answer."""
+
+POLL_SECONDS = 0.05
+"""Time between two looks at whether a note is in force."""
+
+
+class NoDaemonAnswers(JaypierError):
+    """None of the given daemons answered."""
+
+
+@attrs.frozen
+class Answer:
+    """A daemon's answer.
+
+    :param body: decoded JSON.
+    """
+
+    status: int
+    body: Any
+
+
+class DaemonClient:
+    """Calls any of several daemons.
+
+    :param nodes: addresses of daemons; the next one is tried when one does not answer.
+    :param token: the operator's token.
+    """
+
+    def __init__(self, nodes: list[str], token: str) -> None:
+        self.nodes = nodes
+        self.token = token
+
+    async def call_node(self, node: str, method: str, path: str, body: bytes = b"") -> Answer:
+        """Call one daemon.
+
+        :raises TransportError: when it does not answer.
+        """
+        headers = [(b"authorization", f"Bearer {self.token}".encode())]
+        async with ConnectionPool(Address.parse(node)) as pool:
+            request = HttpRequest(method, path, headers, body)
+            response = await pool.exchange(request, CALL_TIMEOUT)
+        try:
+            return Answer(response.status, msgspec.json.decode(response.body))
+        except msgspec.DecodeError as error:
+            raise TransportError(f"{node} sent no JSON: {error}", sent=True) from error
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> Answer:
+        """Call the first daemon that answers.
+
+        Notes may be sent to several daemons in turn: their identity makes them idempotent.
+
+        :raises NoDaemonAnswers: when none does.
+        """
+        errors = []
+        for node in self.nodes:
+            try:
+                return await self.call_node(node, method, path, body)
+            except TransportError as error:
+                errors.append(str(error))
+        raise NoDaemonAnswers("; ".join(errors))
+
+    async def submit(self, body: bytes, seconds: float) -> Answer:
+        """Submit a note; resend it while its fate is unknown.
+
+        :param seconds: time after which to give up.
+        """
+        deadline = time.monotonic() + seconds
+        while True:
+            answer = await self.call("POST", "/v1/notes", body)
+            if answer.status != 504 or time.monotonic() > deadline:
+                return answer
+            self.nodes = [*self.nodes[1:], self.nodes[0]]
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_in_force(
+        self, version: int, seconds: float, on_progress: Callable[[int, int], None]
+    ) -> bool:
+        """Wait until every daemon that is alive has a version in force.
+
+        :param on_progress: called with the number of daemons that have it, and of all.
+        :returns: whether they all have it in time.
+        """
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            nodes = (await self.call("GET", "/v1/nodes")).body
+            versions = await asyncio.gather(*(self._version(node) for node in nodes))
+            reached = sum(each >= version for each in versions)
+            on_progress(reached, len(versions))
+            if reached == len(versions):
+                return True
+            await asyncio.sleep(POLL_SECONDS)
+        return False
+
+    async def _version(self, node: dict) -> int:
+        try:
+            answer = await self.call_node(node["address"], "GET", "/v1/nodes")
+        except TransportError:
+            return -1
+        own = [each["version"] for each in answer.body if each["id"] == node["id"]]
+        return own[0] if own else -1
+
+    async def dump_all(self) -> dict[str, Any]:
+        """Return the dump of every daemon that is alive, by identity."""
+        nodes = (await self.call("GET", "/v1/nodes")).body
+        dumps = {}
+        for node in nodes:
+            try:
+                answer = await self.call_node(node["address"], "GET", "/v1/dump")
+                dumps[node["id"]] = answer.body
+            except TransportError as error:
+                dumps[node["id"]] = {"error": str(error)}
+        return dumps
--- /dev/null
+++ b/src/jaypier/core/address.py
@@ -0,0 +1,39 @@
+"""Network addresses: an IP number and a port, never a host name."""
+
+import ipaddress
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Address:
+    """A TCP address by IP number.
+
+    :param host: IPv4 or IPv6 number.
+    :param port: TCP port, 1 to 65535.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parse ``"127.0.0.1:8080"`` or ``"[::1]:8080"``.
+
+        :raises ValueError: naming the text and the expected form.
+        """
+        host, separator, port = text.rpartition(":")
+        host = host.removeprefix("[").removesuffix("]")
+        try:
+            ipaddress.ip_address(host)
+            number = int(port)
+        except ValueError:
+            number = 0
+        if not separator or not 0 < number < 65536:
+            raise ValueError(f"address {text!r} is not IP:PORT; write it like '127.0.0.1:8080'")
+        return cls(host, number)
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/jaypier/core/codec.py
@@ -0,0 +1,118 @@
+"""JSON and MessagePack codecs for ``attrs`` classes.
+
+Two converters are used: a strict one for what people write (settings, release notes), which
+refuses unknown keys and reports every mistake, and a lenient one for what programs exchange,
+which ignores unknown keys so that neighbouring releases can talk to each other.
+"""
+
+from typing import Any, TypeVar
+
+import cattrs
+import msgspec
+from cattrs.preconf.msgspec import make_converter
+
+from jaypier.core.errors import JaypierError
+
+T = TypeVar("T")
+
+strict_converter = make_converter(forbid_extra_keys=True)
+lenient_converter = make_converter()
+
+
+def _refuse_coercion(value: Any, expected: type) -> Any:
+    """Return ``value`` when it has exactly the expected type, bool not counting as int."""
+    if expected is float and type(value) is int:
+        return float(value)
+    if type(value) is not expected:
+        raise ValueError(f"expected {expected.__name__}, got {value!r}")
+    return value
+
+
+for _type in (int, float, str, bool):
+    strict_converter.register_structure_hook(_type, _refuse_coercion)
+
+
+class DecodeError(JaypierError):
+    """A document could not be decoded.
+
+    :param mistakes: one line for each mistake, naming the path of the value.
+    """
+
+    def __init__(self, mistakes: list[str]) -> None:
+        super().__init__("; ".join(mistakes))
+        self.mistakes = mistakes
+
+
+def structure_strictly(value: Any, expected: type[T]) -> T:
+    """Turn plain JSON values into ``expected`` and list every mistake found.
+
+    :param value: dicts, lists, strings, numbers as a JSON reader returns them.
+    :param expected: the ``attrs`` class to build.
+    :raises DecodeError: for unknown keys, missing keys and wrong types.
+    """
+    try:
+        return strict_converter.structure(value, expected)
+    except cattrs.BaseValidationError as error:
+        raise DecodeError(cattrs.transform_error(error, format_exception=_describe)) from error
+
+
+def _describe(error: BaseException, expected: type | None) -> str:
+    if isinstance(error, KeyError):
+        return f"missing key {error.args[0]!r}"
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        return "unknown key " + ", ".join(repr(key) for key in sorted(error.extra_fields))
+    if isinstance(error, ValueError):
+        return str(error)
+    return f"invalid value, expected {getattr(expected, '__name__', expected)}"
+
+
+def to_json(value: Any) -> bytes:
+    """Encode an ``attrs`` instance, or plain values, as JSON."""
+    return lenient_converter.dumps(value)
+
+
+def from_json(data: bytes, expected: type[T]) -> T:
+    """Decode JSON from another program.
+
+    :raises DecodeError: when the document does not fit ``expected``.
+    """
+    try:
+        return lenient_converter.loads(data, expected)
+    except cattrs.BaseValidationError as error:
+        raise DecodeError(cattrs.transform_error(error)) from error
+    except (msgspec.DecodeError, ValueError, TypeError, KeyError) as error:
+        raise DecodeError([str(error)]) from error
+
+
+def to_plain(value: Any) -> Any:
+    """Return the plain dicts and lists of an ``attrs`` instance, for dumps and tables."""
+    return lenient_converter.unstructure(value)
+
+
+def from_plain(value: Any, expected: type[T]) -> T:
+    """Build ``expected`` from plain values that jaypier itself wrote.
+
+    :raises DecodeError: when the values do not fit ``expected``.
+    """
+    try:
+        return lenient_converter.structure(value, expected)
+    except cattrs.BaseValidationError as error:
+        raise DecodeError(cattrs.transform_error(error)) from error
+    except (ValueError, TypeError, KeyError) as error:
+        raise DecodeError([str(error)]) from error
+
+
+def pack(value: Any) -> bytes:
+    """Encode an ``attrs`` instance as MessagePack, for messages between daemons."""
+    return msgspec.msgpack.encode(value)
+
+
+def unpack(data: bytes | msgspec.Raw, expected: type[T]) -> T:
+    """Decode MessagePack from another daemon.
+
+    :raises DecodeError: when the message does not fit ``expected``.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=expected)
+    except msgspec.DecodeError as error:
+        raise DecodeError([str(error)]) from error
--- /dev/null
+++ b/src/jaypier/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``jaypierd``: settings and the wiring of all slices."""
--- /dev/null
+++ b/src/jaypier/daemon/tests/test_settings.py
@@ -0,0 +1,130 @@
+"""Tests of reading and checking settings."""
+
+import json
+import tempfile
+from pathlib import Path
+
+import testtools
+from testtools.matchers import Contains, Equals, HasLength, MatchesRegex
+from typer.testing import CliRunner
+
+from jaypier.daemon.main import app
+from jaypier.daemon.settings import SettingsError, load_settings
+
+EXAMPLE = Path(__file__).parents[4] / "examples" / "entry-1.json"
+
+
+def valid_settings() -> dict:
+    return {
+        "id": "entry-1",
+        "data_centre": "a",
+        "data_centres": ["a", "b"],
+        "caller_address": "127.0.0.1:8101",
+        "peer_address": "127.0.0.1:9101",
+        "platform": {"address": "127.0.0.1:7000"},
+        "cluster_secret": "0123456789abcdef",
+        "operator_tokens": {"amina": "operator-0123456789"},
+        "team_tokens": {"clinic": "clinic-0123456789"},
+    }
+
+
+class SettingsTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.json"
+
+    def mistakes_of(self, text: str) -> list[str]:
+        self.path.write_text(text)
+        return self.assertRaises(SettingsError, load_settings, self.path).lines
+
+    def assert_mistake(self, changes: dict, key: str, detail: str):
+        settings = valid_settings() | changes
+        lines = self.mistakes_of(json.dumps({k: v for k, v in settings.items() if v is not ...}))
+        self.assertThat(lines, HasLength(1))
+        self.assertThat(lines[0], MatchesRegex(f".*settings.json: {key}.*{detail}"))
+        self.assertThat(lines[0].count("\n"), Equals(0))
+
+
+class TestValid(SettingsTestCase):
+    def test_example_is_valid(self):
+        self.assertThat(load_settings(EXAMPLE).id, Equals("entry-1"))
+
+    def test_comments_are_allowed(self):
+        self.path.write_text("// note\n" + json.dumps(valid_settings()) + "\n/* end */")
+        self.assertThat(load_settings(self.path).platform.timeout_seconds, Equals(1.0))
+
+
+class TestMistakes(SettingsTestCase):
+    def test_unknown_key(self):
+        self.assert_mistake({"colour": 1}, "", "unknown key 'colour'; remove it")
+
+    def test_missing_key(self):
+        settings = valid_settings()
+        del settings["peer_address"]
+        lines = self.mistakes_of(json.dumps(settings))
+        self.assertThat(lines[0], Contains("missing key 'peer_address'; add it"))
+
+    def test_wrong_type(self):
+        changes = {"platform": {"address": "127.0.0.1:7000", "timeout_seconds": "soon"}}
+        self.assert_mistake(changes, "platform.timeout_seconds", "expected float, got 'soon'")
+
+    def test_number_out_of_range(self):
+        changes = {"stop": {"notice_seconds": -1}}
+        self.assert_mistake(changes, "stop", "-1.0 is out of range; use 0.0 to 300.0")
+
+    def test_host_name_instead_of_address(self):
+        self.assert_mistake({"caller_address": "localhost:80"}, "", "'localhost:80' is not IP:PORT")
+
+    def test_data_centre_not_listed(self):
+        self.assert_mistake(
+            {"data_centre": "z"}, "", "'z' is not in data_centres; use one of: a, b"
+        )
+
+    def test_short_secret(self):
+        self.assert_mistake({"cluster_secret": "x"}, "", "too short; use at least 16")
+
+    def test_unknown_log_format(self):
+        self.assert_mistake({"log": {"format": "xml"}}, "log", "use one of: json, console")
+
+    def test_unknown_platform(self):
+        changes = {"platform": {"address": "127.0.0.1:7000", "back_end": "gopher"}}
+        self.assert_mistake(changes, "platform", "'gopher' is not known; use one of: http")
+
+    def test_token_shared_by_team_and_operator(self):
+        changes = {"team_tokens": {"clinic": "operator-0123456789"}}
+        self.assert_mistake(changes, "", "share a token; give each its own")
+
+    def test_every_mistake_is_listed(self):
+        lines = self.mistakes_of(json.dumps(valid_settings() | {"id": 3, "colour": 1}))
+        self.assertThat(lines, HasLength(2))
+
+    def test_broken_syntax_names_the_line(self):
+        self.assertThat(self.mistakes_of('{\n"id": }')[0], Contains("line 2"))
+
+    def test_duplicate_key(self):
+        self.assertThat(self.mistakes_of('{"id": "a", "id": "b"}')[0], Contains("id"))
+
+    def test_missing_file(self):
+        error = self.assertRaises(SettingsError, load_settings, self.path)
+        self.assertThat(error.lines[0], Contains("cannot be read"))
+
+    def test_secrets_are_not_shown(self):
+        self.path.write_text(json.dumps(valid_settings()))
+        self.assertNotIn("0123456789", repr(load_settings(self.path)))
+
+
+class TestCommandLine(SettingsTestCase):
+    def test_check_of_valid_settings(self):
+        result = CliRunner().invoke(app, ["--check-settings", str(EXAMPLE)])
+        self.assertThat(result.exit_code, Equals(0))
+
+    def test_check_of_wrong_settings_exits_with_2(self):
+        self.path.write_text("{}")
+        result = CliRunner().invoke(app, ["--check-settings", str(self.path)])
+        self.assertThat(result.exit_code, Equals(2))
+        self.assertThat(result.output, Contains("missing key 'id'; add it"))
+
+    def test_no_arguments_exits_with_2(self):
+        self.assertThat(CliRunner().invoke(app, []).exit_code, Equals(2))
--- /dev/null
+++ b/src/jaypier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons are alive, and the messages between them."""
--- /dev/null
+++ b/src/jaypier/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: what operators may change, and the configuration that results."""
--- /dev/null
+++ b/src/jaypier/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface of a daemon, for callers and operators."""
--- /dev/null
+++ b/src/jaypier/platform/abstract.py
@@ -0,0 +1,79 @@
+"""The entry point that every platform back end implements."""
+
+from abc import ABC, abstractmethod
+
+from jaypier.platform.model import Machine, Row, Transaction
+
+
+class TableService(ABC):
+    """Transactional rows."""
+
+    @abstractmethod
+    async def read(self, key: str) -> Row | None:
+        """Return a row, or ``None`` when it does not exist.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return every row whose key starts with ``prefix``, in key order.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def transact(self, transaction: Transaction) -> None:
+        """Apply a transaction whole.
+
+        :raises ConditionFailed: when a condition does not hold; nothing was applied.
+        :raises PlatformUnavailable: when there is no answer; ``effect_unknown`` tells whether
+            the transaction may have been applied.
+        """
+
+
+class ObjectStore(ABC):
+    """Named immutable byte strings."""
+
+    @abstractmethod
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or ``None`` when it does not exist.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def put(self, name: str, data: bytes) -> None:
+        """Store an object.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+
+class MachineList(ABC):
+    """The lagging list of live and leaving VMs."""
+
+    @abstractmethod
+    async def machines(self) -> list[Machine]:
+        """Return every machine that the platform lists now.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+
+class Platform(ABC):
+    """A connected platform; an async context manager that owns its connections."""
+
+    table: TableService
+    objects: ObjectStore
+    machine_list: MachineList
+
+    async def __aenter__(self) -> "Platform":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close every connection."""
--- /dev/null
+++ b/src/jaypier/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: routing to endpoints, limits, retries and truthful outcomes."""
--- /dev/null
+++ b/src/jaypier/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Where gangs run: pure decisions in one data centre, and who takes them."""
--- /dev/null
+++ b/src/jaypier/wire/client.py
@@ -0,0 +1,227 @@
+"""HTTP/1.1 client connections on ``asyncio`` and ``h11``."""
+
+import asyncio
+from collections import deque
+
+import h11
+
+from jaypier.core.address import Address
+from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
+from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds to wait for a TCP connection."""
+
+MAX_IDLE_SECONDS = 5.0
+"""Age at which an idle pooled connection is closed instead of reused."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server; it carries one exchange at a time.
+
+    A connection whose exchange did not end with a whole, well-formed response is closed, so a
+    late response can never be matched to another request.
+
+    :param address: the server's address, for error messages.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.http = h11.Connection(h11.CLIENT)
+        self.transport: asyncio.Transport | None = None
+        self.waiter: asyncio.Future | None = None
+        self.response: HttpResponse | None = None
+        self.body: list[bytes] = []
+        self.body_size = 0
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport of the new connection."""
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self.fail(f"{self.address} closed the connection before the whole response")
+
+    def eof_received(self) -> bool:
+        """Finish a response that is delimited by the end of the connection."""
+        self.data_received(b"")
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Feed received bytes to the parser and resolve the exchange when it is complete."""
+        if self.waiter is None or self.waiter.done():
+            self.transport.abort()
+            return
+        try:
+            self.http.receive_data(data)
+            self.advance()
+        except h11.RemoteProtocolError as error:
+            self.fail(f"{self.address} broke the protocol: {error}")
+            self.transport.abort()
+
+    def advance(self) -> None:
+        """Read parser events until the response is complete or more bytes are needed."""
+        while True:
+            event = self.http.next_event()
+            if isinstance(event, h11.Response):
+                self.response = HttpResponse(event.status_code, list(event.headers))
+            elif isinstance(event, h11.Data):
+                self.body_size += len(event.data)
+                if self.body_size > MAX_BODY_BYTES:
+                    self.fail(f"{self.address} sent a body over {MAX_BODY_BYTES} bytes")
+                    self.transport.abort()
+                    return
+                self.body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.response.body = b"".join(self.body)
+                self.waiter.set_result(self.response)
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                return
+
+    def fail(self, message: str) -> None:
+        """Fail the exchange in progress, if any."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(BrokenExchange(message, sent=True))
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another exchange may start on this connection."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return self.http.our_state is h11.IDLE and self.http.their_state is h11.IDLE
+
+    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        """Send a request and wait for its whole response.
+
+        :param timeout: seconds to wait for the response.
+        :raises ExchangeTimeout: when the response is late; the connection is closed.
+        :raises BrokenExchange: when the connection ends or breaks the protocol.
+        """
+        loop = asyncio.get_running_loop()
+        self.waiter = loop.create_future()
+        self.response, self.body, self.body_size = None, [], 0
+        headers = [
+            (b"host", str(self.address).encode()),
+            *request.headers,
+            (b"content-length", str(len(request.body)).encode()),
+        ]
+        timer = loop.call_later(timeout, self.expire)
+        try:
+            self.send(request, headers)
+            response = await self.waiter
+        except BaseException:
+            self.transport.abort()
+            raise
+        finally:
+            timer.cancel()
+            self.waiter = None
+        self.end_cycle()
+        return response
+
+    def send(self, request: HttpRequest, headers: list[tuple[bytes, bytes]]) -> None:
+        """Write the whole request at once."""
+        try:
+            head = h11.Request(
+                method=request.method.encode(), target=request.target.encode(), headers=headers
+            )
+            events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+            data = b"".join(self.http.send(event) or b"" for event in events)
+        except h11.LocalProtocolError as error:
+            raise BrokenExchange(f"request cannot be encoded: {error}", sent=False) from error
+        self.transport.write(data)
+
+    def expire(self) -> None:
+        """Fail the exchange whose response is late."""
+        if self.waiter is not None and not self.waiter.done():
+            message = f"{self.address} did not answer in time"
+            self.waiter.set_exception(ExchangeTimeout(message, sent=True))
+
+    def end_cycle(self) -> None:
+        """Make the connection ready for the next exchange, or close it."""
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            self.idle_since = asyncio.get_running_loop().time()
+        else:
+            self.transport.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+async def open_connection(address: Address, timeout: float = CONNECT_TIMEOUT) -> ClientConnection:
+    """Connect to a server.
+
+    :param timeout: seconds to wait.
+    :raises ConnectError: when the connection is refused or takes too long.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(address), address.host, address.port
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectError(f"cannot connect to {address}: {error or 'timed out'}") from error
+    return connection
+
+
+class ConnectionPool:
+    """Idle connections to one server, the most recently used first.
+
+    :param address: the server's address.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle: deque[ClientConnection] = deque()
+        self.in_use = 0
+
+    async def __aenter__(self) -> "ConnectionPool":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.close()
+
+    @property
+    def open_connections(self) -> int:
+        """Connections in use plus idle ones."""
+        return self.in_use + len(self.idle)
+
+    def take_idle(self) -> ClientConnection | None:
+        """Return a fresh idle connection, closing those that are stale."""
+        now = asyncio.get_running_loop().time()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_reusable and now - connection.idle_since < MAX_IDLE_SECONDS:
+                return connection
+            connection.close()
+        return None
+
+    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        """Send a request on an idle connection, or on a new one.
+
+        :param timeout: seconds for the whole exchange.
+        :raises ConnectError: when no connection could be made; nothing was sent.
+        :raises ExchangeTimeout: when the response is late.
+        :raises BrokenExchange: when the connection ends or breaks the protocol.
+        """
+        self.in_use += 1
+        try:
+            connection = self.take_idle()
+            if connection is None:
+                connection = await open_connection(self.address, min(timeout, CONNECT_TIMEOUT))
+            response = await connection.exchange(request, timeout)
+        finally:
+            self.in_use -= 1
+        if connection.is_reusable:
+            self.idle.append(connection)
+        return response
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        while self.idle:
+            self.idle.pop().close()
--- /dev/null
+++ b/src/jaypier/wire/messages.py
@@ -0,0 +1,91 @@
+"""HTTP requests and responses as whole, bounded messages."""
+
+from http import HTTPStatus
+
+import attrs
+
+Headers = list[tuple[bytes, bytes]]
+
+MAX_BODY_BYTES = 1 << 20
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+@attrs.define
+class HttpRequest:
+    """A request whose body has been read to its end.
+
+    :param method: for example ``"POST"``.
+    :param target: path and query as sent.
+    :param headers: pairs of lower-case names and values.
+    :param body: at most ``MAX_BODY_BYTES`` bytes.
+    """
+
+    method: str
+    target: str
+    headers: Headers = attrs.field(factory=list)
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    def header(self, name: bytes, default: str = "") -> str:
+        """Return the first header called ``name`` (lower case), or ``default``."""
+        return find_header(self.headers, name, default)
+
+
+@attrs.define
+class HttpResponse:
+    """A response whose body has been read to its end.
+
+    :param status: three-digit status code.
+    :param headers: pairs of lower-case names and values.
+    :param body: at most ``MAX_BODY_BYTES`` bytes.
+    """
+
+    status: int
+    headers: Headers = attrs.field(factory=list)
+    body: bytes = b""
+
+    def header(self, name: bytes, default: str = "") -> str:
+        """Return the first header called ``name`` (lower case), or ``default``."""
+        return find_header(self.headers, name, default)
+
+
+def find_header(headers: Headers, name: bytes, default: str = "") -> str:
+    """Return the value of the first header called ``name`` (lower case)."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return default
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that a proxy passes on."""
+    return [(name, value) for name, value in headers if name not in HOP_BY_HOP]
+
+
+def reason_phrase(status: int) -> bytes:
+    """Return the standard phrase of ``status``, empty for an unknown one."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
+
+
+def json_response(status: int, body: bytes, headers: Headers | None = None) -> HttpResponse:
+    """Build a response that carries JSON."""
+    return HttpResponse(status, [(b"content-type", b"application/json"), *(headers or [])], body)
--- /dev/null
+++ b/src/jaypier/wire/server.py
@@ -0,0 +1,238 @@
+"""HTTP/1.1 server on ``asyncio`` and ``h11`` with a graceful stop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from jaypier.core.address import Address
+from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse, reason_phrase
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+REQUEST_READ_TIMEOUT = 10.0
+"""Seconds that a client may take to send one request."""
+
+RESPONSE_WRITE_TIMEOUT = 10.0
+"""Seconds that a client may take to drain a response."""
+
+IDLE_TIMEOUT = 60.0
+"""Seconds after which an idle connection is closed."""
+
+MAX_CONNECTIONS = 4096
+"""Connections that one server accepts at a time."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client connection; it handles one request at a time.
+
+    :param server: the server that accepted the connection.
+    """
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.server = server
+        self.http = h11.Connection(h11.SERVER)
+        self.transport: asyncio.Transport | None = None
+        self.request: HttpRequest | None = None
+        self.body: list[bytes] = []
+        self.body_size = 0
+        self.task: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection, or refuse it when the server is full."""
+        self.transport = transport
+        if len(self.server.connections) >= self.server.max_connections:
+            transport.abort()
+            return
+        self.server.connections.add(self)
+        self.set_timer(REQUEST_READ_TIMEOUT)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the handler of a client that has left."""
+        self.server.connections.discard(self)
+        self.clear_timer()
+        if self.task is not None:
+            self.task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed received bytes to the parser."""
+        self.http.receive_data(data)
+        if self.task is None:
+            self.advance()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as a client that has left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Bound the time a slow client may take to drain the response."""
+        self.set_timer(RESPONSE_WRITE_TIMEOUT)
+
+    def resume_writing(self) -> None:
+        """Return to the idle timeout once the response has drained."""
+        self.set_timer(IDLE_TIMEOUT)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or handled."""
+        return self.task is None and self.request is None
+
+    def set_timer(self, seconds: float) -> None:
+        """Close the connection unless the timer is set again within ``seconds``."""
+        self.clear_timer()
+        self.timer = asyncio.get_running_loop().call_later(seconds, self.expire)
+
+    def clear_timer(self) -> None:
+        """Cancel the running timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def expire(self) -> None:
+        """Drop a connection that was idle or slow for too long."""
+        self.timer = None
+        if self.task is None and self.transport is not None:
+            self.transport.abort()
+
+    def advance(self) -> None:
+        """Read parser events until a request is complete or more bytes are needed."""
+        try:
+            while self.task is None:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.ConnectionClosed):
+                    self.transport.close()
+                    return
+                self.take(event)
+        except h11.RemoteProtocolError as error:
+            self.refuse(error.error_status_hint, str(error))
+
+    def take(self, event: h11.Event) -> None:
+        """Add one parser event to the request being read."""
+        if isinstance(event, h11.Request):
+            method, target = event.method.decode("ascii"), event.target.decode("latin-1")
+            self.request = HttpRequest(method, target, list(event.headers))
+            self.set_timer(REQUEST_READ_TIMEOUT)
+            if self.http.they_are_waiting_for_100_continue:
+                self.write(h11.InformationalResponse(status_code=100, headers=[]))
+        elif isinstance(event, h11.Data):
+            self.body_size += len(event.data)
+            if self.body_size > MAX_BODY_BYTES:
+                self.refuse(413, f"body exceeds {MAX_BODY_BYTES} bytes")
+                return
+            self.body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.request.body = b"".join(self.body)
+            self.clear_timer()
+            self.task = asyncio.get_running_loop().create_task(self.handle(self.request))
+
+    async def handle(self, request: HttpRequest) -> None:
+        """Run the handler and send its response."""
+        try:
+            response = await self.server.handler(request)
+        except Exception as error:
+            self.server.on_handler_error(error)
+            response = HttpResponse(500, body=b"internal error\n")
+        self.respond(request, response)
+
+    def respond(self, request: HttpRequest, response: HttpResponse) -> None:
+        """Send a response and get ready for the next request."""
+        self.task = None
+        if self.transport is None or self.transport.is_closing():
+            return
+        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
+        if self.server.is_stopping:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(
+            status_code=response.status, headers=headers, reason=reason_phrase(response.status)
+        )
+        body = b"" if request.method == "HEAD" else response.body
+        self.write(head, h11.Data(data=body), h11.EndOfMessage())
+        self.finish()
+
+    def refuse(self, status: int, message: str) -> None:
+        """Answer a request that could not be read, then close the connection."""
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = message.encode() + b"\n"
+            headers = [(b"content-length", str(len(body)).encode()), (b"connection", b"close")]
+            head = h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
+            self.write(head, h11.Data(data=body), h11.EndOfMessage())
+        self.request = None
+        self.transport.close()
+
+    def write(self, *events: h11.Event) -> None:
+        """Serialize events and write them at once."""
+        self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
+
+    def finish(self) -> None:
+        """End the request cycle: close the connection or read the next request."""
+        self.request = None
+        self.body = []
+        self.body_size = 0
+        if self.http.our_state is h11.MUST_CLOSE:
+            self.transport.close()
+            return
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            self.transport.close()
+            return
+        self.http.start_next_cycle()
+        self.set_timer(IDLE_TIMEOUT)
+        self.advance()
+
+
+class HttpServer:
+    """Listens on one address; an async context manager that owns its connections.
+
+    :param address: where to listen.
+    :param handler: coroutine function from request to response.
+    :param on_handler_error: called with each exception that the handler lets through.
+    """
+
+    connection_class = ServerConnection
+    max_connections = MAX_CONNECTIONS
+
+    def __init__(
+        self,
+        address: Address,
+        handler: Handler,
+        on_handler_error: Callable[[Exception], None],
+    ) -> None:
+        self.address = address
+        self.handler = handler
+        self.on_handler_error = on_handler_error
+        self.connections: set[ServerConnection] = set()
+        self.is_stopping = False
+        self.listener: asyncio.Server | None = None
+
+    async def __aenter__(self) -> "HttpServer":
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: self.connection_class(self), self.address.host, self.address.port, backlog=512
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    def announce_stop(self) -> None:
+        """Ask clients, from the next response on, to close their connections."""
+        self.is_stopping = True
+
+    async def drain(self, timeout: float) -> int:
+        """Stop accepting, close idle connections and wait for requests in flight.
+
+        :param timeout: seconds to wait.
+        :returns: the number of requests that were still in flight at the timeout.
+        """
+        self.announce_stop()
+        self.listener.close()
+        deadline = asyncio.get_running_loop().time() + timeout
+        while self.connections and asyncio.get_running_loop().time() < deadline:
+            for connection in [each for each in self.connections if each.is_idle]:
+                connection.transport.close()
+            await asyncio.sleep(0.02)
+        return sum(not connection.is_idle for connection in self.connections)
--- /dev/null
+++ b/src/jaypier/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Control of workers: the platform's protocol and one session for each worker."""
