Homes name workers: every guarantee is reclaimable by construction

Cause: homes named racks, and a packing check at each claim kept them reclaimable. The stateful test found a rack whose claims had come and gone: 3 workers of 8 with 3 and 1 accelerators still claimed by work that cannot be preempted no longer took a shape of 2 tasks by 8, although the plan, which packs in the abstract, had accepted it.

Ruled out: packing around what runs (the daemon that accepts a note does not know positions); consolidating claims (work that cannot be preempted does not move).

Change: a home names the workers of each task and homes are disjoint. Work that cannot be preempted runs in a home only, and its placement is recorded in the configuration before its release, so a later plan works around it. Homes are mended when a worker goes; the homes of the largest teams give way first. A gang that failed on a worker is placed elsewhere if it can be, and is given up after 6 failures on healthy workers even if its home is a single one.

--- a/src/jaypier/notes/configuration.py
+++ b/src/jaypier/notes/configuration.py
@@ -41,14 +41,14 @@
     Only preemptible work may use capacity of a reservation that its team did not claim, so
     every reservation can be reclaimed by preempting.
 
+    :param workers: tasks of the shape that each worker must be able to take.
     :param job: the job that this is a temporary home of, empty for a guaranteed shape.
-    :param racks: tasks of the shape that each rack must be able to take.
     """
 
     team: str
     shape: GuaranteedShape
     data_centre: str
-    racks: dict[str, int]
+    workers: dict[str, int] = attrs.field(factory=dict)
     job: str = ""
 
     @property
@@ -57,6 +57,19 @@
         return f"{self.team}/{self.shape.name}/{self.job}"
 
 
+@attrs.frozen
+class Pin:
+    """A job that cannot be preempted and where it runs.
+
+    :param claim: key of the reservation that it runs in.
+    :param placement: number of tasks on each worker.
+    """
+
+    claim: str
+    accelerators_per_task: int
+    placement: dict[str, int]
+
+
 @attrs.frozen
 class ConfigurationEntry:
     """One accepted change; entries form a log without gaps.
@@ -65,7 +78,7 @@
     :param note: the operators' note; empty sections for a scheduler's own change.
     :param reservations: new homes of all guaranteed shapes, ``None`` to keep the present ones.
     :param assignments: data centre for each job that is new or moved.
-    :param released: non-repeatable jobs whose tasks are about to be released.
+    :param released: jobs that cannot be preempted and whose tasks are about to be released.
     :param retired: outcome of each job that has ended.
     """
 
@@ -73,7 +86,7 @@
     note: ReleaseNote
     reservations: list[Reservation] | None = None
     assignments: dict[str, str] = attrs.field(factory=dict)
-    released: list[str] = attrs.field(factory=list)
+    released: dict[str, Pin] = attrs.field(factory=dict)
     retired: dict[str, JobOutcome] = attrs.field(factory=dict)
 
 
@@ -82,7 +95,8 @@
     """Everything that is in force at one version; never changed in place.
 
     :param assignments: data centre that each unfinished job is assigned to.
-    :param released: non-repeatable jobs that may have run and are never started again.
+    :param released: jobs that cannot be preempted and may have run; those of them that are not
+        repeatable are never started again.
     :param revisions: version at which each entity was last touched.
     """
 
@@ -92,7 +106,7 @@
     data_centres: dict[str, DataCentre] = attrs.field(factory=dict)
     assignments: dict[str, str] = attrs.field(factory=dict)
     reservations: list[Reservation] = attrs.field(factory=list)
-    released: frozenset[str] = frozenset()
+    released: dict[str, Pin] = attrs.field(factory=dict)
     revisions: dict[str, int] = attrs.field(factory=dict)
 
     def in_service(self, data_centre: str) -> bool:
@@ -146,13 +160,14 @@
 
 
 def _release(
-    released: frozenset[str], entry: ConfigurationEntry, jobs: dict[str, Job]
-) -> frozenset[str]:
+    released: dict[str, Pin], entry: ConfigurationEntry, jobs: dict[str, Job]
+) -> dict[str, Pin]:
     """Add the entry's marks; forget those of jobs that are gone or were added anew."""
     if not released and not entry.released:
         return released
     replaced = {job.name for job in [*entry.note.added.jobs, *entry.note.changed.jobs]}
-    return frozenset(((released - replaced) | set(entry.released)) & set(jobs))
+    kept = {name: pin for name, pin in released.items() if name not in replaced}
+    return {name: pin for name, pin in {**kept, **entry.released}.items() if name in jobs}
 
 
 def _revise(revisions: dict[str, int], entry: ConfigurationEntry) -> dict[str, int]:
--- a/src/jaypier/scheduling/assignment.py
+++ b/src/jaypier/scheduling/assignment.py
@@ -7,15 +7,19 @@
     Configuration,
     ConfigurationEntry,
     JobOutcome,
+    Pin,
     Reservation,
     apply_entry,
 )
 from jaypier.notes.model import Job, ReleaseNote
 from jaypier.notes.validation import NoteRefusal, RefusalKind, check_note
-from jaypier.platform import Machine, MachineKind
-from jaypier.scheduling.capacity import Capacity
+from jaypier.platform import Machine
 from jaypier.scheduling.placement import place_gang
-from jaypier.scheduling.reservations import RackSite, is_home, plan_reservations
+from jaypier.scheduling.reservations import (
+    capacities_in_service,
+    is_home,
+    plan_reservations,
+)
 
 
 @attrs.frozen
@@ -24,24 +28,12 @@
 
     :param retired: outcome of each job that has ended.
     :param moved: jobs to assign to another data centre.
-    :param released: non-repeatable jobs that are about to be released.
+    :param released: jobs that cannot be preempted and are about to be released.
     """
 
     retired: dict[str, JobOutcome] = attrs.field(factory=dict)
     moved: list[str] = attrs.field(factory=list)
-    released: list[str] = attrs.field(factory=list)
-
-
-def rack_sites(machines: list[Machine], configuration: Configuration) -> list[RackSite]:
-    """Group the listed workers of the data centres in service by rack."""
-    racks: dict[tuple[str, str], list[int]] = {}
-    for machine in machines:
-        if machine.kind is MachineKind.WORKER and configuration.in_service(machine.data_centre):
-            racks.setdefault((machine.data_centre, machine.rack), []).append(machine.accelerators)
-    return [
-        RackSite(data_centre, rack, tuple(sorted(workers, reverse=True)))
-        for (data_centre, rack), workers in sorted(racks.items())
-    ]
+    released: dict[str, Pin] = attrs.field(factory=dict)
 
 
 def plan_note(
@@ -59,11 +51,10 @@
         return Error(checked.error)
     entry = ConfigurationEntry(configuration.version + 1, note)
     changed = apply_entry(configuration, entry)
-    sites = rack_sites(machines, changed)
-    plan = plan_reservations(changed, sites)
+    plan = plan_reservations(changed, machines)
     if plan.shortfalls and (note.added.teams or note.changed.teams):
         touched = {team.name for team in [*note.added.teams, *note.changed.teams]}
-        before = plan_reservations(configuration, rack_sites(machines, configuration))
+        before = plan_reservations(configuration, machines)
         known = {(each.team, each.shape) for each in before.shortfalls}
         new = [
             each
@@ -72,7 +63,7 @@
         ]
         if new:
             return Error(NoteRefusal(RefusalKind.SHORTFALL, [str(each) for each in new]))
-    return Ok(_complete(entry, changed, plan.reservations, sites, set()))
+    return Ok(_complete(entry, changed, plan.reservations, machines, set()))
 
 
 def plan_change(
@@ -87,33 +78,31 @@
     """
     jobs = configuration.jobs
     retired = {name: each for name, each in change.retired.items() if name in jobs}
-    released = [
-        name
-        for name in change.released
-        if name in jobs and name not in configuration.released and name not in retired
-    ]
+    released = {
+        name: pin
+        for name, pin in change.released.items()
+        if name in jobs and configuration.released.get(name) != pin and name not in retired
+    }
     moved = {name for name in change.moved if name in jobs and name not in retired}
     entry = ConfigurationEntry(
         configuration.version + 1, ReleaseNote(change_id), released=released, retired=retired
     )
     changed = apply_entry(configuration, entry)
-    sites = rack_sites(machines, changed)
-    plan = plan_reservations(changed, sites)
-    entry = _complete(entry, changed, plan.reservations, sites, moved)
-    if not (entry.retired or entry.released or entry.assignments):
-        return None
-    return entry
+    plan = plan_reservations(changed, machines)
+    entry = _complete(entry, changed, plan.reservations, machines, moved)
+    is_empty = not (entry.retired or entry.released or entry.assignments)
+    return None if is_empty and entry.reservations is None else entry
 
 
 def _complete(
     entry: ConfigurationEntry,
     changed: Configuration,
     reservations: list[Reservation],
-    sites: list[RackSite],
+    machines: list[Machine],
     moved: set[str],
 ) -> ConfigurationEntry:
     """Add reservations and assignments to an entry."""
-    assigner = JobAssigner(changed, reservations, sites)
+    assigner = JobAssigner(changed, reservations, machines)
     unassigned = [
         job
         for name, job in changed.jobs.items()
@@ -137,18 +126,17 @@
 
     :param configuration: configuration with the jobs that are assigned already.
     :param reservations: homes of guaranteed shapes.
-    :param sites: racks of the data centres in service.
+    :param machines: the platform's list.
     """
 
     def __init__(
-        self, configuration: Configuration, reservations: list[Reservation], sites: list[RackSite]
+        self,
+        configuration: Configuration,
+        reservations: list[Reservation],
+        machines: list[Machine],
     ) -> None:
         self.reservations = reservations
-        self.capacities: dict[str, Capacity] = {}
-        for site in sites:
-            capacity = self.capacities.setdefault(site.data_centre, Capacity())
-            for index, accelerators in enumerate(site.workers):
-                capacity.set_free(f"{site.name}#{index}", site.name, accelerators)
+        self.capacities = capacities_in_service(machines, configuration)
         self.sizes = {name: each.free_total for name, each in self.capacities.items()}
         self.load = dict.fromkeys(self.capacities, 0)
         self.claimed: dict[str, int] = {}
--- a/src/jaypier/scheduling/capacity.py
+++ b/src/jaypier/scheduling/capacity.py
@@ -90,6 +90,21 @@
                 free = self.racks[rack].free[worker] + sign * tasks * accelerators_per_task
                 self.racks[rack].set_free(worker, free)
 
+    def without(self, excluded: set[str]) -> "Capacity":
+        """Return a copy without some workers."""
+        return Capacity(
+            (worker, rack.name, free)
+            for rack in self.racks.values()
+            for worker, free in rack.free.items()
+            if worker not in excluded
+        )
+
+    def only_racks(self, names: set[str]) -> "Capacity":
+        """Return a copy with some racks only."""
+        return Capacity(
+            (worker, name, free) for name in names for worker, free in self.racks[name].free.items()
+        )
+
     @property
     def free_total(self) -> int:
         """Free accelerators of all workers."""
--- a/src/jaypier/scheduling/claims.py
+++ b/src/jaypier/scheduling/claims.py
@@ -1,4 +1,4 @@
-"""Places gangs into the reservations of their teams, preempting lent capacity; no I/O."""
+"""Places gangs into the homes of their teams' guarantees; no I/O."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -7,27 +7,32 @@
 
 from jaypier.notes.configuration import Configuration, Reservation
 from jaypier.notes.model import Adjacency
+from jaypier.scheduling.capacity import Capacity
 from jaypier.scheduling.model import Gang, GangPhase, Worker
-from jaypier.scheduling.reservations import Demand, is_home, pack, team_order
-
-GANG_KEY = ""
-"""Key of the gang being placed among the demands of a rack."""
+from jaypier.scheduling.placement import place_gang
+from jaypier.scheduling.reservations import is_home
 
 
 @attrs.frozen
 class ClaimPlacement:
-    """Workers that a gang claims in a reservation."""
+    """Workers that a gang claims in a reservation.
+
+    :param is_off_home: whether some of them are not of its home, so that it may be preempted
+        when their own homes are claimed.
+    """
 
     reservation: Reservation
     placement: dict[str, int]
+    is_off_home: bool
 
 
 class ClaimLedger:
-    """Reservations of one data centre and how far gangs have claimed them.
+    """Homes of one data centre and how far gangs have claimed them.
 
     :param configuration: configuration in force.
-    :param gangs: gangs of the data centre.
+    :param gangs: active gangs of the data centre.
     :param workers: workers that can be used, by name.
+    :param capacity: present free accelerators, to choose workers with little to preempt.
     """
 
     def __init__(
@@ -36,116 +41,99 @@
         data_centre: str,
         gangs: Iterable[Gang],
         workers: dict[str, Worker],
+        capacity: Capacity,
     ) -> None:
-        self.reservations = {
-            reservation.key: reservation
-            for reservation in configuration.reservations
-            if reservation.data_centre == data_centre
-        }
-        self.teams = configuration.teams
+        self.homes: dict[str, list[Reservation]] = {}
+        self.reserved: Counter[str] = Counter()
+        for home in configuration.reservations:
+            if home.data_centre == data_centre:
+                self.homes.setdefault(home.team, []).append(home)
+                for worker, tasks in home.workers.items():
+                    self.reserved[worker] += tasks * home.shape.accelerators_per_task
         self.workers = workers
-        self.by_rack: dict[str, list[Worker]] = {}
-        for worker in workers.values():
-            self.by_rack.setdefault(worker.rack, []).append(worker)
-        self.claimed: dict[str, Counter[str]] = {key: Counter() for key in self.reservations}
-        self.fixed: Counter[str] = Counter()
-        self.lent: Counter[str] = Counter()
+        self.capacity = capacity
+        self.claimed: Counter[tuple[str, str]] = Counter()
+        self.claimed_tasks: Counter[str] = Counter()
         for gang in gangs:
             self.add(gang)
 
     def add(self, gang: Gang) -> None:
-        """Count an active gang."""
-        size = gang.job.accelerators_per_task
-        is_fixed = gang.claim is not None and gang.phase is not GangPhase.STOPPING
+        """Count a gang that claims a home."""
+        if gang.claim is None or gang.phase is GangPhase.STOPPING:
+            return
+        self.claimed_tasks[gang.claim] += gang.job.tasks
         for worker, tasks in gang.placement.items():
-            (self.fixed if is_fixed else self.lent)[worker] += tasks * size
-            if is_fixed and gang.claim in self.claimed and worker in self.workers:
-                self.claimed[gang.claim][self.workers[worker].rack] += tasks
+            self.claimed[gang.claim, worker] += tasks
+            if gang.is_off_home:
+                self.reserved[worker] += tasks * gang.job.accelerators_per_task
 
     def candidates(self, gang: Gang) -> list[Reservation]:
-        """Return the reservations that a gang may claim and that have room for it."""
+        """Return the homes that a gang may claim and that have tasks left for it."""
         return [
-            reservation
-            for reservation in self.reservations.values()
-            if is_home(reservation, gang.job) and self.unclaimed(reservation) >= gang.job.tasks
+            home
+            for home in self.homes.get(gang.job.team, [])
+            if is_home(home, gang.job)
+            and home.shape.tasks - self.claimed_tasks[home.key] >= gang.job.tasks
         ]
 
-    def unclaimed(self, reservation: Reservation) -> int:
-        """Return the tasks of a reservation that no gang has claimed."""
-        return reservation.shape.tasks - self.claimed[reservation.key].total()
-
     def place(self, gang: Gang) -> ClaimPlacement | None:
-        """Choose workers for a gang in one of its team's reservations.
+        """Choose workers for a gang in one of its team's homes.
+
+        Workers on which the gang has failed are avoided if possible. A gang that can be
+        preempted may use unreserved workers in place of those of the home that are lost.
 
-        :returns: the placement, ``None`` when no reservation has room for it.
+        :returns: the placement, ``None`` when no home has room for it.
         """
-        for reservation in self.candidates(gang):
-            placement = self._place_in(gang, reservation)
+        candidates = self.candidates(gang)
+        if not candidates:
+            return None
+        failed_on = gang.failed_on
+        at_home = self._place_in_any(gang, candidates, failed_on)
+        if at_home is not None:
+            return at_home
+        off_home = self._place_off_home(gang, failed_on) if gang.job.preemptible else None
+        if off_home is not None:
+            return ClaimPlacement(candidates[0], off_home, is_off_home=True)
+        return self._place_in_any(gang, candidates, set()) if failed_on else None
+
+    def _place_in_any(
+        self, gang: Gang, homes: list[Reservation], avoided: set[str]
+    ) -> ClaimPlacement | None:
+        for home in homes:
+            placement = self._place_at_home(gang, home, avoided)
             if placement is not None:
-                return ClaimPlacement(reservation, placement)
+                return ClaimPlacement(home, placement, is_off_home=False)
         return None
 
-    def _place_in(self, gang: Gang, reservation: Reservation) -> dict[str, int] | None:
+    def _place_at_home(
+        self, gang: Gang, home: Reservation, avoided: set[str]
+    ) -> dict[str, int] | None:
+        """Choose among the workers of a home those with most room free already."""
         open_tasks = {
-            rack: tasks - self.claimed[reservation.key][rack]
-            for rack, tasks in reservation.racks.items()
+            worker: tasks - self.claimed[home.key, worker]
+            for worker, tasks in home.workers.items()
+            if worker in self.workers and worker not in avoided
         }
-        if gang.job.adjacency is Adjacency.RACK or max(open_tasks.values()) >= gang.job.tasks:
-            racks = [rack for rack, tasks in open_tasks.items() if tasks >= gang.job.tasks]
-            placements = (
-                self._place_in_rack(gang, rack, gang.job.tasks, reservation) for rack in racks
-            )
-            return next((placement for placement in placements if placement is not None), None)
-        return self._place_over_racks(gang, reservation, open_tasks)
-
-    def _place_over_racks(
-        self, gang: Gang, reservation: Reservation, open_tasks: dict[str, int]
-    ) -> dict[str, int] | None:
         placement: dict[str, int] = {}
         left = gang.job.tasks
-        for rack, tasks in sorted(open_tasks.items(), key=lambda item: -item[1]):
-            count = min(left, tasks)
-            part = self._place_in_rack(gang, rack, count, reservation) if count else None
-            if part is not None:
-                placement |= part
+        for worker in sorted(open_tasks, key=lambda name: (-self.capacity.free_of(name), name)):
+            count = min(left, open_tasks[worker])
+            if count > 0:
+                placement[worker] = count
                 left -= count
-        return placement if left == 0 else None
-
-    def _place_in_rack(
-        self, gang: Gang, rack: str, tasks: int, reservation: Reservation
-    ) -> dict[str, int] | None:
-        """Choose workers so that the rack's other reservations still fit.
-
-        When the rack has lost workers, the reservations of the largest teams give way first.
-        """
-        free = {
-            worker.name: worker.accelerators - self.fixed[worker.name]
-            for worker in self.by_rack.get(rack, [])
-        }
-        others = self._open_demands(rack, reservation.key, tasks)
-        wanted = Demand(GANG_KEY, gang.job.accelerators_per_task, tasks)
-        smaller = [
-            demand
-            for demand in others
-            if team_order(self.teams[self.reservations[demand.key].team])
-            <= team_order(self.teams[gang.job.team])
-        ]
-        for kept in range(len(others), len(smaller) - 1, -1):
-            packed = pack(free, [wanted, *others[:kept]])
-            if packed is not None:
-                return packed[GANG_KEY]
-        return None
-
-    def _open_demands(self, rack: str, claimed_key: str, claimed_tasks: int) -> list[Demand]:
-        """Return what the rack must still be able to take, the smallest team first."""
-        demands = []
-        for reservation in self.reservations.values():
-            tasks = reservation.racks.get(rack, 0) - self.claimed[reservation.key][rack]
-            if reservation.key == claimed_key:
-                tasks -= claimed_tasks
-            if tasks > 0:
-                size = reservation.shape.accelerators_per_task
-                demands.append(Demand(reservation.key, size, tasks))
-        return sorted(
-            demands, key=lambda each: team_order(self.teams[self.reservations[each.key].team])
+        if left or (gang.job.adjacency is Adjacency.RACK and self._racks(placement) > 1):
+            return None
+        return placement
+
+    def _racks(self, placement: dict[str, int]) -> int:
+        return len({self.workers[worker].rack for worker in placement})
+
+    def _place_off_home(self, gang: Gang, avoided: set[str]) -> dict[str, int] | None:
+        """Choose workers from capacity that is in nobody's home."""
+        unreserved = Capacity(
+            (name, worker.rack, max(0, worker.accelerators - self.reserved[name]))
+            for name, worker in self.workers.items()
+            if name not in avoided
         )
+        job = gang.job
+        return place_gang(unreserved, job.tasks, job.accelerators_per_task, job.adjacency)
--- a/src/jaypier/scheduling/health.py
+++ b/src/jaypier/scheduling/health.py
@@ -1,5 +1,7 @@
 """Tells workers that fail everything from jobs that can never run; no I/O."""
 
+from collections import Counter
+
 import attrs
 
 DISTINCT_JOBS_FOR_QUARANTINE = 3
@@ -8,6 +10,9 @@
 DISTINCT_WORKERS_FOR_IMPOSSIBLE = 3
 """Different healthy workers that a job must fail on to be given up."""
 
+FAILURES_FOR_IMPOSSIBLE = 6
+"""Failures on healthy workers, be they the same, after which a job is given up."""
+
 QUARANTINE_SECONDS = 30.0
 """First time for which a worker is set aside; it doubles with each failed probe."""
 
@@ -71,6 +76,10 @@
         health = self.workers.get(worker)
         return health is not None and health.quarantines > 0
 
+    def suspects(self) -> set[str]:
+        """Return the workers that have been set aside and have not succeeded since."""
+        return {name for name, each in self.workers.items() if each.quarantines > 0}
+
     def quarantined_count(self, now: float) -> int:
         """Return the number of workers that are set aside."""
         return sum(now < health.quarantined_until for health in self.workers.values())
@@ -81,7 +90,13 @@
         return min((end for end in ends if end > now), default=float("inf"))
 
 
-def is_impossible(failed_on: set[str], health: HealthTracker) -> bool:
-    """Whether a job has failed on enough workers that are not to blame themselves."""
-    blameless = [worker for worker in failed_on if not health.is_suspect(worker)]
-    return len(blameless) >= DISTINCT_WORKERS_FOR_IMPOSSIBLE
+def is_impossible(failures: Counter[str], health: HealthTracker) -> bool:
+    """Whether a job has failed on enough workers that are not to blame themselves.
+
+    :param failures: how often the job failed on each worker.
+    """
+    blameless = [count for worker, count in failures.items() if not health.is_suspect(worker)]
+    return (
+        len(blameless) >= DISTINCT_WORKERS_FOR_IMPOSSIBLE
+        or sum(blameless) >= FAILURES_FOR_IMPOSSIBLE
+    )
--- a/src/jaypier/scheduling/model.py
+++ b/src/jaypier/scheduling/model.py
@@ -1,10 +1,11 @@
 """State that scheduling decisions are made on, and the commands that result."""
 
+from collections import Counter
 from enum import StrEnum
 
 import attrs
 
-from jaypier.notes.configuration import JobOutcome
+from jaypier.notes.configuration import JobOutcome, Pin
 from jaypier.notes.model import Job
 
 
@@ -120,12 +121,13 @@
     :param not_before: time before which it is not started again, in seconds.
     :param placement: number of tasks on each worker, empty while queued.
     :param claim: key of the reservation that it runs in, ``None`` for lent capacity.
+    :param is_off_home: whether it runs outside the home that it claims.
     :param tasks: worker of each task of the present attempt.
     :param states: newest reported state of each task.
     :param was_released: whether tasks of the present attempt may have run.
     :param is_own_mark: whether the present owner had the job marked as released, so that it
         knows whether the release followed.
-    :param failed_on: healthy workers on which a task of this job failed.
+    :param failures: how often a task of this job failed on each worker.
     :param unfit_since: time since when it has not fitted on all listed workers, in seconds.
     """
 
@@ -138,15 +140,21 @@
     phase_since: float = 0.0
     placement: dict[str, int] = attrs.field(factory=dict)
     claim: str | None = None
+    is_off_home: bool = False
     tasks: dict[TaskIdentity, str] = attrs.field(factory=dict)
     states: dict[TaskIdentity, TaskState] = attrs.field(factory=dict)
     was_released: bool = False
     is_own_mark: bool = False
     stop_reason: StopReason | None = None
     detail: str = ""
-    failed_on: set[str] = attrs.field(factory=set)
+    failures: Counter[str] = attrs.field(factory=Counter)
     unfit_since: float | None = None
 
+    @property
+    def failed_on(self) -> set[str]:
+        """Workers on which a task of this job failed."""
+        return set(self.failures)
+
     @property
     def is_active(self) -> bool:
         """Whether it holds or awaits capacity on workers."""
@@ -155,7 +163,8 @@
     @property
     def is_evictable(self) -> bool:
         """Whether it may be preempted for a team that claims its guarantee."""
-        return self.job.preemptible and self.claim is None and self.phase is not GangPhase.STOPPING
+        is_lent = self.claim is None or self.is_off_home
+        return self.job.preemptible and is_lent and self.phase is not GangPhase.STOPPING
 
 
 @attrs.define
@@ -200,12 +209,12 @@
 
     :param retired: outcome of each job that has ended.
     :param moved: jobs to assign to another data centre.
-    :param to_mark: non-repeatable jobs to record as released before they are.
+    :param to_mark: jobs that cannot be preempted, to record as released before they are.
     """
 
     retired: dict[str, JobOutcome] = attrs.field(factory=dict)
     moved: list[str] = attrs.field(factory=list)
-    to_mark: list[str] = attrs.field(factory=list)
+    to_mark: dict[str, Pin] = attrs.field(factory=dict)
 
     @property
     def is_empty(self) -> bool:
--- a/src/jaypier/scheduling/reservations.py
+++ b/src/jaypier/scheduling/reservations.py
@@ -1,11 +1,16 @@
-"""Homes for guaranteed shapes, so that reclaiming one is a matter of its own racks."""
+"""Homes for guaranteed shapes, so that reclaiming one is a matter of its own workers.
 
-from collections.abc import Iterable
+Homes are disjoint: the tasks of all homes on a worker fit on it together. Work that cannot be
+preempted only runs in a home of its own, so whatever else is on a home can be preempted for it.
+"""
 
 import attrs
 
-from jaypier.notes.configuration import Configuration, Reservation
+from jaypier.notes.configuration import Configuration, Pin, Reservation
 from jaypier.notes.model import Adjacency, GuaranteedShape, Job, Team
+from jaypier.platform import Machine, MachineKind, MachineState
+from jaypier.scheduling.capacity import Capacity
+from jaypier.scheduling.placement import place_gang
 
 
 @attrs.frozen
@@ -26,207 +31,230 @@
 
 
 @attrs.frozen
-class RackSite:
-    """A rack and the accelerators of each of its workers.
+class Plan:
+    """Homes of all guaranteed shapes and of jobs that cannot be preempted.
 
-    :param workers: accelerators of each worker, largest first.
+    :param shortfalls: guaranteed shapes for which there is no home.
     """
 
-    data_centre: str
-    name: str
-    workers: tuple[int, ...]
+    reservations: list[Reservation]
+    shortfalls: list[Shortfall]
 
 
-@attrs.frozen
-class Demand:
-    """Tasks of one reservation that a rack must be able to take."""
+def capacities_in_service(
+    machines: list[Machine], configuration: Configuration
+) -> dict[str, Capacity]:
+    """Return the whole capacity of the listed workers of each data centre in service."""
+    capacities: dict[str, Capacity] = {}
+    for machine in machines:
+        is_live_worker = machine.kind is MachineKind.WORKER and machine.state is MachineState.LIVE
+        if is_live_worker and configuration.in_service(machine.data_centre):
+            capacity = capacities.setdefault(machine.data_centre, Capacity())
+            capacity.set_free(machine.id, machine.rack, machine.accelerators)
+    return capacities
 
-    key: str
-    accelerators_per_task: int
-    tasks: int
+
+def team_order(team: Team) -> tuple[int, str]:
+    """Sort key that puts the team with the smallest guarantee first."""
+    return (team.guaranteed_accelerators, team.name)
 
 
-def pack(free: dict[str, int], demands: Iterable[Demand]) -> dict[str, dict[str, int]] | None:
-    """Pack all demands on the workers of a rack, the largest tasks first, best fit.
+def covers(shape: GuaranteedShape, job: Job) -> bool:
+    """Whether a gang fits into a shape as a whole."""
+    if job.adjacency is Adjacency.RACK and shape.adjacency is not Adjacency.RACK:
+        return False
+    return job.tasks <= shape.tasks and job.accelerators_per_task <= shape.accelerators_per_task
 
-    The result is exact when task sizes divide each other, and may refuse otherwise.
 
-    :param free: free accelerators of each worker.
-    :returns: for each demand's key the number of tasks on each worker, ``None`` when the
-        demands do not all fit.
-    """
-    left = dict(free)
-    packed: dict[str, dict[str, int]] = {}
-    for demand in sorted(demands, key=lambda demand: -demand.accelerators_per_task):
-        size, tasks = demand.accelerators_per_task, demand.tasks
-        chosen = packed.setdefault(demand.key, {})
-        fitting = sorted((room, worker) for worker, room in left.items() if room >= size)
-        for room, worker in fitting:
-            if tasks == 0:
-                break
-            count = min(tasks, room // size)
-            chosen[worker] = chosen.get(worker, 0) + count
-            left[worker] = room - count * size
-            tasks -= count
-        if tasks:
-            return None
-    return packed
+def is_home(reservation: Reservation, job: Job) -> bool:
+    """Whether a job may claim a reservation."""
+    if reservation.team != job.team:
+        return False
+    if reservation.job:
+        return reservation.job == job.name
+    return covers(reservation.shape, job)
 
 
-class ReservationPlanner:
-    """Finds homes for shapes in racks, beside the homes that are taken already.
+def wanted_homes(configuration: Configuration) -> list[Reservation]:
+    """Return what needs a home, in order of precedence, as reservations without workers.
 
-    :param sites: every rack of the data centres in service.
+    Guaranteed shapes go first, the smallest team's before others'; then jobs that cannot be
+    preempted and that no guarantee of their team covers.
     """
+    teams = sorted(configuration.teams.values(), key=team_order)
+    shapes = [Reservation(team.name, shape, "") for team in teams for shape in team.guarantee]
+    jobs = [
+        Reservation(job.team, _shape_of(job), "", job=job.name)
+        for job in configuration.jobs.values()
+        if not job.preemptible and not _is_covered(configuration.teams[job.team], job)
+    ]
+    return shapes + jobs
 
-    def __init__(self, sites: list[RackSite]) -> None:
-        self.sites = {site.name: site for site in sites}
-        self.demands: dict[str, list[Demand]] = {site.name: [] for site in sites}
 
-    def fits(self, rack: str, extra: Demand) -> bool:
-        """Whether a rack can take one more demand."""
-        workers = {str(index): size for index, size in enumerate(self.sites[rack].workers)}
-        return pack(workers, [*self.demands[rack], extra]) is not None
+def _shape_of(job: Job) -> GuaranteedShape:
+    return GuaranteedShape("job", job.tasks, job.accelerators_per_task, job.adjacency)
 
-    def keep(self, reservation: Reservation) -> bool:
-        """Keep a present home if it is still in service and fits.
 
-        :returns: whether it was kept.
-        """
-        size = reservation.shape.accelerators_per_task
-        demands = {
-            rack: Demand(reservation.key, size, tasks) for rack, tasks in reservation.racks.items()
-        }
-        known = all(rack in self.sites for rack in demands)
-        if not known or not all(self.fits(rack, demand) for rack, demand in demands.items()):
-            return False
-        self._add(demands)
-        return True
+def _is_covered(team: Team, job: Job) -> bool:
+    return any(covers(shape, job) for shape in team.guarantee)
 
-    def plan(self, team: str, shape: GuaranteedShape, job: str = "") -> Reservation | None:
-        """Find a home for a shape.
 
-        :returns: the home, ``None`` when the shape does not fit.
-        """
-        key = Reservation(team, shape, "", {}, job).key
-        size = shape.accelerators_per_task
-        whole = Demand(key, size, shape.tasks)
-        one_rack = [rack for rack in self.sites if self._has_room(rack, whole)]
-        if one_rack:
-            best = min(one_rack, key=lambda rack: (self._free(rack), rack))
-            return self._reserve(team, shape, {best: whole}, job)
-        if shape.adjacency is Adjacency.RACK:
-            return None
-        for data_centre in sorted({site.data_centre for site in self.sites.values()}):
-            demands = self._spread(data_centre, key, size, shape.tasks)
-            if demands:
-                return self._reserve(team, shape, demands, job)
-        return None
-
-    def _has_room(self, rack: str, demand: Demand) -> bool:
-        needed = demand.tasks * demand.accelerators_per_task
-        return self._free(rack) >= needed and self.fits(rack, demand)
-
-    def _free(self, rack: str) -> int:
-        taken = sum(demand.tasks * demand.accelerators_per_task for demand in self.demands[rack])
-        return sum(self.sites[rack].workers) - taken
-
-    def _spread(self, data_centre: str, key: str, size: int, tasks: int) -> dict[str, Demand]:
-        """Spread a shape over the emptiest racks of a data centre; empty when it does not fit."""
-        racks = [name for name, site in self.sites.items() if site.data_centre == data_centre]
-        demands: dict[str, Demand] = {}
-        for rack in sorted(racks, key=lambda rack: (-self._free(rack), rack)):
-            for count in range(min(tasks, self._free(rack) // size), 0, -1):
-                if self.fits(rack, Demand(key, size, count)):
-                    demands[rack] = Demand(key, size, count)
-                    tasks -= count
-                    break
-            if tasks == 0:
-                return demands
-        return {}
-
-    def _reserve(
-        self, team: str, shape: GuaranteedShape, demands: dict[str, Demand], job: str
-    ) -> Reservation:
-        self._add(demands)
-        data_centre = self.sites[next(iter(demands))].data_centre
-        racks = {rack: demand.tasks for rack, demand in demands.items()}
-        return Reservation(team, shape, data_centre, racks, job)
-
-    def _add(self, demands: dict[str, Demand]) -> None:
-        for rack, demand in demands.items():
-            self.demands[rack].append(demand)
+class ReservationPlanner:
+    """Finds homes beside those that are taken already.
 
+    :param capacities: whole capacity of each data centre in service.
+    :param pins: work that cannot be preempted and where it runs.
+    :param present: homes as they are now, by key.
+    """
 
-@attrs.frozen
-class Plan:
-    """Homes of all guaranteed shapes and of jobs that cannot be preempted.
+    def __init__(
+        self,
+        capacities: dict[str, Capacity],
+        pins: dict[str, Pin],
+        present: dict[str, Reservation],
+    ) -> None:
+        self.capacities = capacities
+        self.data_centre_of = {
+            worker: name for name, capacity in capacities.items() for worker in capacity.rack_of
+        }
+        self.pins: dict[str, list[Pin]] = {}
+        for pin in pins.values():
+            self.pins.setdefault(pin.claim, []).append(pin)
+            if pin.claim not in present:
+                self._occupy_pin(pin, {})
+        self.homes: dict[str, Reservation] = {}
+
+    def _occupy_pin(self, pin: Pin, home: dict[str, int]) -> None:
+        """Take the capacity of pinned tasks that lie outside a home."""
+        outside = {
+            worker: max(0, tasks - home.get(worker, 0)) for worker, tasks in pin.placement.items()
+        }
+        self._change(outside, pin.accelerators_per_task, -1)
 
-    :param shortfalls: guaranteed shapes for which there is no home.
-    """
+    def _change(self, placement: dict[str, int], size: int, sign: int) -> None:
+        for worker, tasks in placement.items():
+            data_centre = self.data_centre_of.get(worker)
+            if data_centre is not None and tasks:
+                self.capacities[data_centre].change({worker: tasks}, size, sign)
 
-    reservations: list[Reservation]
-    shortfalls: list[Shortfall]
+    def keep(self, home: Reservation) -> bool:
+        """Keep a present home whose workers are all in service; mend one that lost some.
 
+        :returns: whether it was kept or mended.
+        """
+        size = home.shape.accelerators_per_task
+        left = {w: tasks for w, tasks in home.workers.items() if w in self.data_centre_of}
+        if any(self._free(worker) < tasks * size for worker, tasks in left.items()):
+            return False
+        missing = home.shape.tasks - sum(left.values())
+        if missing and not left:
+            return False
+        self._change(left, size, -1)
+        mended = self._mend(home, left, missing) if missing else {}
+        if mended is None:
+            self._change(left, size, +1)
+            return False
+        self._change(mended, size, -1)
+        workers = {w: left.get(w, 0) + mended.get(w, 0) for w in {**left, **mended}}
+        self._settle(attrs.evolve(home, workers=workers))
+        return True
 
-def plan_reservations(configuration: Configuration, sites: list[RackSite]) -> Plan:
-    """Plan homes for everything that must be reclaimable, the smallest team first.
+    def _mend(self, home: Reservation, left: dict[str, int], missing: int) -> dict[str, int] | None:
+        """Choose workers near the rest of a home for the tasks that lost theirs."""
+        capacity = self.capacities[home.data_centre]
+        if home.shape.adjacency is Adjacency.RACK:
+            racks = {capacity.rack_of[worker] for worker in left}
+            capacity = capacity.only_racks(racks)
+        size = home.shape.accelerators_per_task
+        return place_gang(capacity, missing, size, home.shape.adjacency)
 
-    Present homes are kept where they still fit. A job that cannot be preempted and is not
-    covered by a guarantee of its team gets a temporary home if there is room beside all
-    guarantees; until then it waits.
+    def plan(self, wanted: Reservation) -> bool:
+        """Find a home where it leaves the least room over.
 
-    :param sites: every rack of the data centres in service.
-    """
-    planner = ReservationPlanner(sites)
-    present = {reservation.key: reservation for reservation in configuration.reservations}
-    reservations, shortfalls = [], []
-    for team in sorted(configuration.teams.values(), key=team_order):
-        for shape in team.guarantee:
-            home = _keep_or_plan(planner, present, Reservation(team.name, shape, "", {}))
-            if home is None:
-                size = shape.accelerators_per_task
-                shortfalls.append(Shortfall(team.name, shape.name, shape.tasks, size))
-            else:
-                reservations.append(home)
-    for job in configuration.jobs.values():
-        if not job.preemptible and not covering_shapes(configuration.teams[job.team], job):
-            shape = GuaranteedShape("job", job.tasks, job.accelerators_per_task, job.adjacency)
-            home = _keep_or_plan(planner, present, Reservation(job.team, shape, "", {}, job.name))
-            reservations += [home] if home is not None else []
-    return Plan(reservations, shortfalls)
-
-
-def _keep_or_plan(
-    planner: ReservationPlanner, present: dict[str, Reservation], wanted: Reservation
-) -> Reservation | None:
-    home = present.get(wanted.key)
-    if home is not None and home.shape == wanted.shape and planner.keep(home):
-        return home
-    return planner.plan(wanted.team, wanted.shape, wanted.job)
+        :returns: whether there is one.
+        """
+        shape = wanted.shape
+        size = shape.accelerators_per_task
+        found = {
+            name: place_gang(capacity, shape.tasks, size, shape.adjacency)
+            for name, capacity in self.capacities.items()
+        }
+        possible = {name: workers for name, workers in found.items() if workers}
+        if not possible:
+            return False
+        best = min(possible, key=lambda name: self._room_around(name, possible[name]))
+        self._change(possible[best], size, -1)
+        self._settle(attrs.evolve(wanted, data_centre=best, workers=possible[best]))
+        return True
 
+    def _room_around(self, data_centre: str, workers: dict[str, int]) -> tuple[int, int, str]:
+        capacity = self.capacities[data_centre]
+        racks = {capacity.rack_of[worker] for worker in workers}
+        return (len(racks), sum(capacity.racks[rack].free_total for rack in racks), data_centre)
 
-def team_order(team: Team) -> tuple[int, str]:
-    """Sort key that puts the team with the smallest guarantee first."""
-    return (team.guaranteed_accelerators, team.name)
+    def _settle(self, home: Reservation) -> None:
+        self.homes[home.key] = home
+        for pin in self.pins.get(home.key, []):
+            self._occupy_pin(pin, home.workers)
 
+    def displace(self, key: str) -> None:
+        """Give up a home that was kept."""
+        home = self.homes.pop(key)
+        self._change(home.workers, home.shape.accelerators_per_task, +1)
+        for pin in self.pins.get(key, []):
+            inside = {w: min(t, home.workers.get(w, 0)) for w, t in pin.placement.items()}
+            self._change(inside, pin.accelerators_per_task, -1)
 
-def covering_shapes(team: Team, job: Job) -> list[GuaranteedShape]:
-    """Return the guaranteed shapes of a team that a job fits into."""
-    return [shape for shape in team.guarantee if covers(shape, job)]
+    def _free(self, worker: str) -> int:
+        return self.capacities[self.data_centre_of[worker]].free_of(worker)
 
 
-def covers(shape: GuaranteedShape, job: Job) -> bool:
-    """Whether a gang fits into a shape as a whole."""
-    if job.adjacency is Adjacency.RACK and shape.adjacency is not Adjacency.RACK:
-        return False
-    return job.tasks <= shape.tasks and job.accelerators_per_task <= shape.accelerators_per_task
+def plan_reservations(configuration: Configuration, machines: list[Machine]) -> Plan:
+    """Plan homes for everything that must be reclaimable.
 
+    Present homes are kept where they can be. When a home is missing and there is no room, the
+    homes of larger teams give way, the largest first.
 
-def is_home(reservation: Reservation, job: Job) -> bool:
-    """Whether a job may claim a reservation."""
-    if reservation.team != job.team:
-        return False
-    if reservation.job:
-        return reservation.job == job.name
-    return covers(reservation.shape, job)
+    :param machines: the platform's list.
+    """
+    wanted = wanted_homes(configuration)
+    present = {home.key: home for home in configuration.reservations}
+    planner = ReservationPlanner(
+        capacities_in_service(machines, configuration), configuration.released, present
+    )
+    missing = []
+    for each in wanted:
+        home = present.get(each.key)
+        if home is None or home.shape != each.shape or not planner.keep(home):
+            missing.append(each)
+    precedence = {each.key: index for index, each in enumerate(wanted)}
+    unplaced = []
+    while missing:
+        each = missing.pop(0)
+        if not _plan_displacing(planner, each, wanted, precedence, missing):
+            unplaced.append(each)
+    shortfalls = [
+        Shortfall(each.team, each.shape.name, each.shape.tasks, each.shape.accelerators_per_task)
+        for each in unplaced
+        if not each.job
+    ]
+    homes = sorted(planner.homes.values(), key=lambda home: precedence[home.key])
+    return Plan(homes, shortfalls)
+
+
+def _plan_displacing(
+    planner: ReservationPlanner,
+    wanted: Reservation,
+    all_wanted: list[Reservation],
+    precedence: dict[str, int],
+    missing: list[Reservation],
+) -> bool:
+    """Plan a home; if there is no room, displace homes of lower precedence one by one."""
+    while not planner.plan(wanted):
+        lower = [key for key in planner.homes if precedence[key] > precedence[wanted.key]]
+        if not lower:
+            return False
+        displaced = max(lower, key=lambda key: precedence[key])
+        planner.displace(displaced)
+        missing.append(all_wanted[precedence[displaced]])
+    return True
--- a/src/jaypier/scheduling/scheduler.py
+++ b/src/jaypier/scheduling/scheduler.py
@@ -9,7 +9,7 @@
 import attrs
 
 from jaypier.core.metrics import Metrics
-from jaypier.notes.configuration import Configuration, JobOutcome, JobState
+from jaypier.notes.configuration import Configuration, JobOutcome, JobState, Pin
 from jaypier.notes.model import Job, entity_key
 from jaypier.platform import Machine, MachineState
 from jaypier.scheduling.capacity import Capacity
@@ -122,6 +122,7 @@
         if configuration.in_service(self.data_centre):
             self.moved.clear()
         self.moved &= set(jobs)
+        self._update_claims()
         for job in jobs.values():
             self._adopt_job(job, now)
         if not configuration.in_service(self.data_centre):
@@ -180,9 +181,24 @@
             self._advance(gang, now, may_start)
         if may_start and self.configuration.in_service(self.data_centre):
             self._place_queued(now)
-        to_mark = [name for name, gang in self.gangs.items() if gang.phase is GangPhase.MARKING]
+        to_mark = {
+            name: self._pin(gang)
+            for name, gang in self.gangs.items()
+            if gang.phase is GangPhase.MARKING
+        }
         return Decisions(dict(self.retired), sorted(self.moved), to_mark)
 
+    def _update_claims(self) -> None:
+        """Find out which gangs a new plan has left outside the homes that they claim."""
+        homes = {home.key: home for home in self.configuration.reservations}
+        for gang in self.gangs.values():
+            if gang.claim is not None:
+                home = homes.get(gang.claim)
+                workers = home.workers if home is not None else {}
+                gang.is_off_home = any(
+                    tasks > workers.get(name, 0) for name, tasks in gang.placement.items()
+                )
+
     # Jobs
 
     def _adopt_job(self, job: Job, now: float) -> None:
@@ -314,7 +330,12 @@
         gang.phase_since = now
         claims = self._claims()
         candidates = claims.candidates(gang)
-        gang.claim = candidates[0].key if candidates else None
+        pin = self.configuration.released.get(gang.job.name)
+        if pin is not None and not gang.job.preemptible:
+            gang.claim = pin.claim
+        elif candidates:
+            gang.claim = candidates[0].key
+        self._update_claims()
         if not is_whole or not gang.was_released:
             reason = StopReason.WORKER_LOST if gang.was_released else StopReason.SUPERSEDED
             self._stop(gang, reason, now)
@@ -345,7 +366,8 @@
         elif gang.phase is GangPhase.HOLDING:
             self._advance_holding(gang, now, may_start)
         elif gang.phase is GangPhase.MARKING:
-            if gang.job.name in self.configuration.released and may_start:
+            is_marked = self.configuration.released.get(gang.job.name) == self._pin(gang)
+            if is_marked and may_start:
                 self._release(gang, now)
         elif self._all_in(gang, TaskState.DONE):
             self._free_workers(gang)
@@ -353,7 +375,7 @@
 
     def _advance_holding(self, gang: Gang, now: float, may_start: bool) -> None:
         if self._all_in(gang, TaskState.HELD):
-            if not gang.job.repeatable:
+            if not gang.job.preemptible:
                 gang.is_own_mark = True
                 self._enter(gang, GangPhase.MARKING, now)
             elif may_start:
@@ -361,6 +383,9 @@
         elif now - gang.phase_since > HOLD_SECONDS and self._awaits_no_capacity(gang):
             self._stop(gang, StopReason.START_FAILED, now)
 
+    def _pin(self, gang: Gang) -> Pin:
+        return Pin(gang.claim or "", gang.job.accelerators_per_task, dict(gang.placement))
+
     def _awaits_no_capacity(self, gang: Gang) -> bool:
         """Whether none of the gang's workers still has to stop other tasks."""
         return not any(
@@ -441,7 +466,7 @@
             del self.gangs[name]
             if self.configuration.assignments.get(name) == self.data_centre:
                 self._adopt_job(self.configuration.jobs[name], now)
-        elif failed and (not gang.job.repeatable or is_impossible(gang.failed_on, self.health)):
+        elif failed and (not gang.job.repeatable or is_impossible(gang.failures, self.health)):
             state = JobState.IMPOSSIBLE if gang.job.repeatable else JobState.FAILED
             self._retire(gang, state, gang.detail or "its tasks failed")
         elif self._may_have_run(gang):
@@ -460,7 +485,7 @@
         gang.was_released = False
 
     def _blame(self, gang: Gang, worker: str, now: float) -> None:
-        gang.failed_on.add(worker)
+        gang.failures[worker] += 1
         if self.health.record_failure(worker, gang.job.name, now, len(self.workers)):
             self.metrics.count("workers.quarantined")
             if worker in self.workers:
@@ -473,6 +498,7 @@
                 worker.assigned.pop(task, None)
         names = set(gang.placement)
         gang.tasks, gang.states, gang.placement, gang.claim = {}, {}, {}, None
+        gang.is_off_home = False
         for name in names & set(self.workers):
             self._update_free(name)
 
@@ -505,7 +531,7 @@
             name: worker for name, worker in self.workers.items() if name in self.capacity.rack_of
         }
         active = [gang for gang in self.gangs.values() if gang.is_active]
-        return ClaimLedger(self.configuration, self.data_centre, active, usable)
+        return ClaimLedger(self.configuration, self.data_centre, active, usable, self.capacity)
 
     def _place_queued(self, now: float) -> None:
         """Place claims of guarantees first, the smallest team first, then lent capacity."""
@@ -544,6 +570,7 @@
                 continue
             self._evict_for(found.placement, gang.job.accelerators_per_task, now)
             gang.claim = found.reservation.key
+            gang.is_off_home = found.is_off_home
             self._place(gang, found.placement, now)
             claims.add(gang)
         return waiting
@@ -578,8 +605,7 @@
                 continue
             if shape in hopeless and not is_earmarked:
                 continue
-            capacity = self.capacity if is_earmarked else self._unmarked_capacity()
-            placement = place_gang(capacity, *shape)
+            placement = self._place_avoiding_failures(gang, is_earmarked)
             if placement is not None:
                 self._place(gang, placement, now)
                 continue
@@ -600,16 +626,23 @@
         gang = self.gangs.get(job)
         return gang is not None and gang.phase is GangPhase.QUEUED
 
-    def _unmarked_capacity(self) -> Capacity:
-        """Return the capacity without the workers that are kept free."""
-        if self.earmark is None:
-            return self.capacity
-        return Capacity(
-            (worker, rack.name, free)
-            for rack in self.capacity.racks.values()
-            for worker, free in rack.free.items()
-            if worker not in self.earmark.workers
-        )
+    def _place_avoiding_failures(self, gang: Gang, is_earmarked: bool) -> dict[str, int] | None:
+        """Choose workers for a gang, if possible none on which it has failed before.
+
+        Workers that failed everything are probed by single tasks, never by larger gangs.
+        """
+        job = gang.job
+        kept_free = self.earmark.workers if self.earmark and not is_earmarked else set()
+        suspects = self.health.suspects() if job.tasks > 1 else set()
+        excluded = kept_free | suspects
+        shape = (job.tasks, job.accelerators_per_task, job.adjacency)
+        failed_on = gang.failed_on
+        if failed_on:
+            placement = place_gang(self.capacity.without(excluded | failed_on), *shape)
+            if placement is not None:
+                return placement
+        capacity = self.capacity.without(excluded) if excluded else self.capacity
+        return place_gang(capacity, *shape)
 
     def _keep_workers_free(self, gang: Gang, now: float) -> None:
         """Keep workers free for a gang that has waited for long, one gang at a time."""
--- a/src/jaypier/scheduling/service.py
+++ b/src/jaypier/scheduling/service.py
@@ -9,6 +9,7 @@
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
+from jaypier.notes.errors import LedgerError
 from jaypier.notes.keeper import ConfigurationKeeper
 from jaypier.notes.model import ReleaseNote
 from jaypier.notes.service import FenceError, NoteAnswer, NoteService
@@ -37,6 +38,9 @@
 FENCE_SECONDS = 2.0
 """Time after which permits of an owner that was succeeded have certainly run out."""
 
+REPLAN_SECONDS = 1.0
+"""Longest time between a change of the workers and a new plan of homes."""
+
 MAJORITY = 0.5
 
 log = structlog.get_logger()
@@ -77,6 +81,8 @@
         self.succeeded: asyncio.Queue[DataCentreOwner] = asyncio.Queue()
         self.taking = asyncio.Lock()
         self.is_leaving = False
+        self.planned_for: frozenset = frozenset()
+        self.workers_changed = asyncio.Event()
         self.commit_count = 0
         self.tasks: list[asyncio.Task] = []
 
@@ -86,6 +92,7 @@
             asyncio.create_task(self.run_takeovers()),
             asyncio.create_task(self.run_renewals()),
             asyncio.create_task(self.run_successions()),
+            asyncio.create_task(self.run_replans()),
         ]
         return self
 
@@ -109,6 +116,31 @@
         """Pass a new reading of the platform's list on to every owner."""
         for owner in self.owners.values():
             owner.deliver(MachinesChanged(self.workers_of(owner.data_centre)))
+        workers = frozenset(
+            (machine.id, machine.state)
+            for machine in self.machines()
+            if machine.kind is MachineKind.WORKER
+        )
+        if workers != self.planned_for:
+            self.planned_for = workers
+            self.workers_changed.set()
+
+    async def run_replans(self) -> None:
+        """Plan homes anew whenever workers come or go, until cancelled.
+
+        One daemon does it: the owner of the first data centre.
+        """
+        while True:
+            await self.workers_changed.wait()
+            self.workers_changed.clear()
+            await asyncio.sleep(REPLAN_SECONDS * self.rng.uniform(0.5, 1.0))
+            if next(iter(self.data_centres()), None) not in self.owners:
+                continue
+            try:
+                await self.commit(Decisions())
+            except LedgerError:
+                self.metrics.count("scheduling.replans_failed")
+                self.workers_changed.set()
 
     def workers_of(self, data_centre: str) -> list[Machine]:
         """Return the listed workers of a data centre."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -21,6 +22,7 @@
 )
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import HttpServer
+from jaypier.workers.errors import EpochRefused
 from jaypier.workers.protocol import ControlReply, ControlRequest
 from standins.serving import print_fault, serve_until_terminated
 
@@ -69,26 +71,38 @@
 
 
 class SimulatedWorker:
-    """State of one worker; pure but for the clock."""
+    """State of one worker; no I/O.
 
-    def __init__(self, name: str, accelerators: int) -> None:
+    :param clock: its monotonic clock, in seconds.
+    :param wall_clock: time for its log, in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        accelerators: int,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
         self.name = name
         self.accelerators = accelerators
+        self.clock = clock
+        self.wall_clock = wall_clock
         self.epoch = 0
         self.lease_until = 0.0
         self.tasks: dict[TaskIdentity, SimulatedTask] = {}
         self.progress: dict[tuple, float] = {}
         self.faults = WorkerFaults()
         self.log: list[LogEntry] = []
-        self.ticked_at = time.monotonic()
+        self.ticked_at = clock()
 
     def record(self, event: str, task: SimulatedTask) -> None:
         """Add an entry to the log."""
-        self.log.append(LogEntry(time.time(), event, self.name, task.identity))
+        self.log.append(LogEntry(self.wall_clock(), event, self.name, task.identity))
 
     def tick(self) -> None:
         """Let tasks run up to now; stop them all when the lease has run out."""
-        now = time.monotonic()
+        now = self.clock()
         elapsed, self.ticked_at = now - self.ticked_at, now
         for task in self.tasks.values():
             if task.state is TaskState.RUNNING:
@@ -107,11 +121,14 @@
             task.reason = "the task exited with status 1"
         self.record(state.value, task)
 
-    def control(self, request: ControlRequest) -> HttpResponse:
-        """Obey one control request."""
+    def control(self, request: ControlRequest) -> ControlReply:
+        """Obey one control request.
+
+        :raises EpochRefused: when the request's epoch is lower than one seen before.
+        """
         self.tick()
         if request.epoch < self.epoch:
-            return json_response(409, to_json(ControlReply(self.epoch, time.monotonic(), [])))
+            raise EpochRefused(self.name, self.epoch)
         self.epoch = request.epoch
         if request.lease_until:
             self.lease_until = request.lease_until
@@ -121,7 +138,7 @@
             TaskReport(task.identity, task.state, task.accelerators, task.reason)
             for task in self.tasks.values()
         ]
-        return json_response(200, to_json(ControlReply(self.epoch, time.monotonic(), reports)))
+        return ControlReply(self.epoch, self.clock(), reports)
 
     def obey(self, command: TaskCommand) -> None:
         """Obey one command."""
@@ -145,7 +162,7 @@
     def start(self, command: TaskCommand) -> None:
         """Start a task held, if its command is still valid and it fits."""
         used = sum(task.accelerators for task in self.tasks.values() if not task.state.is_final)
-        is_valid = time.monotonic() <= min(command.not_after, self.lease_until)
+        is_valid = self.clock() <= min(command.not_after, self.lease_until)
         fits = used + command.accelerators <= self.accelerators
         if command.task in self.tasks or not is_valid or not fits:
             return
@@ -169,7 +186,12 @@
             return json_response(200, to_json(self.log))
         while self.faults.is_cut:
             await asyncio.sleep(0.1)
-        return self.control(from_json(request.body, ControlRequest))
+        try:
+            return json_response(
+                200, to_json(self.control(from_json(request.body, ControlRequest)))
+            )
+        except EpochRefused as error:
+            return json_response(409, to_json(ControlReply(error.epoch, self.clock(), [])))
 
 
 async def tick_all(workers: list[SimulatedWorker]) -> None:
