--- a/src/jaypier/requests/model.py
+++ b/src/jaypier/requests/model.py
@@ -73,6 +73,6 @@
     return RequestResult(Outcome.NOT_RUN, reason=reason, retry_after=retry_after)
 
 
-def unknown(reason: str) -> RequestResult:
+def unknown(reason: str, retry_after: float = 0.0) -> RequestResult:
     """Return the result of a request that may or may not have run."""
-    return RequestResult(Outcome.UNKNOWN, reason=reason)
+    return RequestResult(Outcome.UNKNOWN, reason=reason, retry_after=retry_after)
--- a/src/jaypier/requests/records.py
+++ b/src/jaypier/requests/records.py
@@ -68,7 +68,7 @@
             return
         if result.outcome is Outcome.NOT_RUN:
             del self.records[identity]
-            self.unrun[identity] = record.created_at
+            self.mark_unrun(identity, record.created_at)
         record.result = _without_large_body(result)
         record.finished.set()
 
@@ -79,6 +79,11 @@
             record.result = result
             record.finished.set()
 
+    def mark_unrun(self, identity: str, now: float) -> None:
+        """Remember that the last request of an identity here certainly did not run."""
+        self.unrun[identity] = now
+        self.unrun.move_to_end(identity)
+
     def is_unrun(self, identity: str) -> bool:
         """Whether the last request of an identity here certainly did not run."""
         return identity in self.unrun
--- a/src/jaypier/requests/service.py
+++ b/src/jaypier/requests/service.py
@@ -177,9 +177,13 @@
         try:
             claim = await self.claims.claim(identity)
         except ClaimUnavailable as error:
-            reason = f"its key could not be claimed ({error}); a ticket needs no claim"
-            result = not_run(reason, STORE_RETRY_AFTER)
-            self.records.finish(identity, result)
+            self.records.mark_unrun(identity, self.clock.now())
+            result = unknown(
+                f"nothing was run for this request, but its key could not be claimed ({error}), "
+                "so an earlier request of the same key may have run; resend it unchanged",
+                STORE_RETRY_AFTER,
+            )
+            self.records.drop(identity, result)
             return result
         if not claim.is_own and not (was_unrun and self._is_open_own(claim.record)):
             result = await self._follow(claim.record, request, is_forwarded)
