Close what mutations of the guards showed to be unproved

Two guards were redundant (a second look at the service state when commands are built; kept only where gangs are placed). The rest had tests that were too weak: shedding at once, the order of teams, a slot granted to a caller that leaves, ejection, the permit between placing and starting, late STARTs, a successor that does not reach every worker, starvation without kept-free workers, work that has lost its home.

Also found: a caller's own X-Request-Id reached the endpoint beside jaypier's, whose answer was then taken for another request's; every such request ended as unknown. It is stripped now.

--- a/src/jaypier/requests/http.py
+++ b/src/jaypier/requests/http.py
@@ -26,6 +26,7 @@
     unknown,
 )
 from jaypier.requests.service import Forwarder
+from jaypier.requests.upstream import REQUEST_ID_HEADER
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import (
@@ -53,6 +54,7 @@
         TIMEOUT_HEADER,
         FORWARDED_HEADER,
         TEAM_HEADER,
+        REQUEST_ID_HEADER,
     }
 )
 """Headers that concern jaypier and are not sent to endpoints."""
--- a/src/jaypier/requests/tests/builders.py
+++ b/src/jaypier/requests/tests/builders.py
@@ -39,8 +39,10 @@
     is_leaving: bool = False
     in_flight: int = 0
     most_in_flight: int = 0
+    attempts: int = 0
 
     async def exchange(self, request: HttpRequest, id: str, timeout: float) -> EndpointAnswer:
+        self.attempts += 1
         if self.mode in ("refuse", "unreachable"):
             raise AttemptFailed("refused", may_have_run=False, is_leaving=self.is_leaving)
         self.in_flight += 1
--- a/src/jaypier/requests/tests/test_service.py
+++ b/src/jaypier/requests/tests/test_service.py
@@ -1,6 +1,7 @@
 """Focused tests of outcomes under failure, in virtual time."""
 
 import asyncio
+import statistics
 
 import attrs
 import testtools
@@ -9,7 +10,7 @@
 from jaypier.platform import MachineState
 from jaypier.requests.endpoints import SLOTS
 from jaypier.requests.model import Outcome
-from jaypier.requests.tests.builders import Scene
+from jaypier.requests.tests.builders import SERVICE, Scene
 from standins.virtual_time import LoopClock, run_virtually
 
 
@@ -204,6 +205,7 @@
         for index in range(40):
             await service.serve(scene.request(f"a{index}"))
         self.assertThat(service.metrics.counters["endpoints.ejections"], GreaterThan(0))
+        self.assertThat(scene.endpoints["endpoint-0"].attempts, LessThan(8))
         scene.endpoints["endpoint-0"].mode = "ok"
         await asyncio.sleep(5)
         for index in range(40):
@@ -239,7 +241,7 @@
             *(service.serve(scene.request(f"s{i}", True)) for i in range(2))
         )
         self.assertThat({each.outcome for each in results}, Equals({Outcome.ANSWERED}))
-        self.assertThat(scene.clock.now(), LessThan(1.6))
+        self.assertThat(scene.clock.now(), LessThan(1.1))
         shed = [each for each in await asyncio.gather(*flood) if each.outcome is Outcome.NOT_RUN]
         self.assertThat(len(shed), GreaterThan(200))
 
@@ -254,15 +256,32 @@
         ]
         await asyncio.sleep(5)
         started_at = scene.clock.now()
-        results = await asyncio.gather(
-            *(service.serve(scene.request(f"m{i}", True, "large")) for i in range(100))
-        )
+        shed_after = []
+
+        async def send(index: int):
+            result = await service.serve(scene.request(f"m{index}", True, "large"))
+            if result.outcome is Outcome.NOT_RUN:
+                shed_after.append(scene.clock.now() - started_at)
+            return result
+
+        results = await asyncio.gather(*(send(index) for index in range(100)))
         await asyncio.gather(*flood)
-        self.assertThat(scene.clock.now() - started_at, LessThan(6))
+        self.assertThat(statistics.median(shed_after), LessThan(0.1))
         shed = [each for each in results if each.outcome is Outcome.NOT_RUN]
         self.assertThat(shed, testtools.matchers.Not(HasLength(0)))
         self.assertThat(min(each.retry_after for each in shed), GreaterThan(0))
 
+    @in_scene(endpoints=1)
+    async def test_slot_granted_to_a_caller_that_leaves_is_given_back(self, scene):
+        dispatcher = scene.services["entry-0"].executor.dispatcher
+        leases = [await dispatcher.acquire("large", SERVICE, 9.0, set()) for _ in range(SLOTS)]
+        waiting = asyncio.create_task(dispatcher.acquire("large", SERVICE, 9.0, set()))
+        await asyncio.sleep(0.1)
+        dispatcher.release(leases[0])
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertThat(dispatcher.board.in_flight(), Equals({"endpoint-0": SLOTS - 1}))
+
     @in_scene()
     async def test_goodput_recovers_after_a_burst(self, scene):
         """A burst of five times the capacity for 10 s leaves no backlog behind it."""
--- a/src/jaypier/scheduling/scheduler.py
+++ b/src/jaypier/scheduling/scheduler.py
@@ -163,7 +163,7 @@
         if not self.is_rebuilt or state.heard_at == float("-inf"):
             return []
         commands = [self._command_for(state, each) for each in state.reported.values()]
-        if may_start and self.configuration.in_service(self.data_centre):
+        if may_start:
             commands += self._starts_for(state, now)
         return [command for command in commands if command is not None]
 
--- a/src/jaypier/scheduling/tests/test_scheduler.py
+++ b/src/jaypier/scheduling/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Focused tests of one data centre's decisions."""
 
+import attrs
 import testtools
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
@@ -7,6 +8,7 @@
 from jaypier.notes.model import Adjacency, DataCentre, Entities, GuaranteedShape, Team
 from jaypier.notes.validation import RefusalKind
 from jaypier.scheduling.model import Decisions, GangPhase
+from jaypier.scheduling.scheduler import START_VALID_SECONDS
 from jaypier.scheduling.tests.builders import (
     LEASE,
     Bench,
@@ -14,6 +16,7 @@
     make_job,
     worker_machines,
 )
+from jaypier.workers.protocol import ControlRequest
 from standins.checks import gang_faults
 from standins.worker import WorkerFaults
 
@@ -60,6 +63,15 @@
         bench.run(3)
         self.assertThat((bench.running("nightly"), bench.running("fit")), Equals((3, 2)))
 
+    def test_work_that_cannot_be_stopped_waits_when_its_home_is_gone(self):
+        bench = Bench()
+        bench.run(1)
+        bench.submit(make_job("fixed", "small", 1, 8, preemptible=False))
+        homeless = attrs.evolve(bench.ledger.configuration, reservations=[])
+        bench.scheduler.on_configuration(homeless, bench.clock.now())
+        bench.scheduler.decide(bench.clock.now(), True)
+        self.assertThat(bench.scheduler.gangs["fixed"].phase, Equals(GangPhase.QUEUED))
+
     def test_smallest_team_goes_first_when_capacity_has_shrunk(self):
         teams = [
             Team("small", [GuaranteedShape("bench", 2, 8)]),
@@ -160,8 +172,40 @@
         bench.run(3 * LEASE)
         self.assertThat((bench.running("first"), bench.running("second")), Equals((3, 0)))
 
+    def test_placed_gang_is_not_started_once_the_permit_is_gone(self):
+        bench = Bench()
+        bench.run(1)
+        bench.submit(make_job("late", "small", 2, 4))
+        bench.scheduler.decide(bench.clock.now(), True)
+        bench.may_start = False
+        bench.run(3)
+        self.assertThat(bench.log(), Equals([]))
+
+    def test_late_start_is_refused_by_the_worker(self):
+        bench = Bench()
+        bench.run(1)
+        bench.submit(make_job("late", "small", 1, 4))
+        bench.scheduler.decide(bench.clock.now(), True)
+        worker = next(iter(bench.scheduler.gangs["late"].placement))
+        commands = bench.scheduler.commands_for(worker, bench.clock.now(), True)
+        bench.clock.advance(START_VALID_SECONDS + 0.1)
+        bench.workers[worker].control(ControlRequest(1, "owner", 0.0, commands))
+        self.assertThat((len(commands), bench.log()), Equals((1, [])))
+
 
 class TestTakeover(testtools.TestCase):
+    def test_successor_waits_for_workers_that_it_does_not_reach_at_once(self):
+        bench = Bench()
+        bench.submit(make_job("wide", "large", 6, 8, command="run 30"))
+        bench.run(3)
+        bench.cut.add("here-0-1")
+        bench.take_over()
+        bench.run(2)
+        bench.cut.clear()
+        bench.run(3)
+        self.assertThat(bench.running("wide"), Equals(6))
+        self.assertThat({entry.task.epoch for entry in bench.log()}, Equals({1}))
+
     def test_successor_takes_over_running_gangs(self):
         bench = Bench()
         bench.submit(make_job("wide", "large", 6, 8, command="run 30"))
@@ -225,7 +269,10 @@
     def test_small_jobs_do_not_starve_a_large_gang(self):
         bench = Bench(teams=[Team("small"), Team("large")])
         index = 0
-        bench.submit(*[make_job(f"first-{i}", "small", 1, 2, command="run 7") for i in range(24)])
+        first = [
+            make_job(f"first-{i}", "small", 1, 2, command=f"run {3 + i / 2}") for i in range(24)
+        ]
+        bench.submit(*first)
         bench.run(1)
         bench.submit(make_job("wide", "large", 6, 8, command="run 5"))
         waited = 0.0
