--- a/Makefile
+++ b/Makefile
@@ -16,13 +16,13 @@
 	$(BIN)/python -m standins.demo
 
 test: install
-	$(BIN)/black --check --quiet src standins tests conftest.py
-	$(BIN)/ruff check --quiet --no-cache src standins tests conftest.py
+	$(BIN)/black --check --quiet src standins measurements tests conftest.py
+	$(BIN)/ruff check --quiet --no-cache src standins measurements tests conftest.py
 	$(BIN)/python -m pytest
 
 format: install
-	$(BIN)/black --quiet src standins tests conftest.py
-	$(BIN)/ruff check --quiet --no-cache --fix src standins tests conftest.py
+	$(BIN)/black --quiet src standins measurements tests conftest.py
+	$(BIN)/ruff check --quiet --no-cache --fix src standins measurements tests conftest.py
 
 clean:
 	rm -rf $(VENV) .run
--- a/src/jaypier/notes/ledger.py
+++ b/src/jaypier/notes/ledger.py
@@ -37,7 +37,7 @@
 OUTCOMES_PREFIX = "outcomes/"
 
 SNAPSHOT_INTERVAL = 200
-"""Versions between two snapshots; older log rows are deleted."""
+"""Versions between two snapshots."""
 
 COMMIT_ATTEMPTS = 3
 """Attempts at one commit whose answer was lost."""
@@ -84,10 +84,12 @@
     """Reads and commits configuration entries.
 
     :param platform: the platform whose table and object store keep the ledger.
+    :param snapshot_interval: versions between two snapshots; older log rows are deleted.
     """
 
-    def __init__(self, platform: Platform) -> None:
+    def __init__(self, platform: Platform, snapshot_interval: int = SNAPSHOT_INTERVAL) -> None:
         self.platform = platform
+        self.snapshot_interval = snapshot_interval
 
     async def read_head(self) -> HeadReading:
         """Return the newest head.
@@ -140,6 +142,21 @@
         row = await self._read(NOTES_PREFIX + note_id)
         return None if row is None else _decode(row.value, NoteRecord).version
 
+    async def is_unrecorded(self, note_id: str) -> bool:
+        """Return whether a note is certainly not recorded now.
+
+        A read may be stale; the conditions of a transaction are held against the present rows.
+
+        :raises LedgerUnavailable: when the table service does not answer.
+        """
+        try:
+            await self.platform.table.transact(Transaction([Condition(NOTES_PREFIX + note_id, 0)]))
+        except ConditionFailed:
+            return False
+        except PlatformUnavailable as error:
+            raise LedgerUnavailable(str(error)) from error
+        return True
+
     async def find_outcome(self, job: str) -> JobOutcome | None:
         """Return the final outcome of a job, or ``None`` when it has none yet.
 
@@ -201,13 +218,15 @@
         Returns normally when this entry was committed by an earlier attempt.
         """
         try:
+            if await self.is_unrecorded(entry.note.id):
+                raise HeadMoved(str(error)) from error
             version = await self.find_note(entry.note.id)
         except LedgerUnavailable as unavailable:
             if may_have_applied:
                 raise CommitUnknown(str(unavailable)) from unavailable
             raise
         if version is None:
-            raise HeadMoved(str(error)) from error
+            raise CommitUnknown("the note is recorded, but its version cannot be read now")
         if not (may_have_applied and version == entry.version):
             raise AlreadyAccepted(entry.note.id, version) from error
 
@@ -225,7 +244,7 @@
             data = to_json(configuration)
             await self.platform.objects.put(snapshot_name(configuration.version), data)
             head = attrs.evolve(reading.head, snapshot=configuration.version)
-            oldest = reading.head.snapshot - SNAPSHOT_INTERVAL
+            oldest = reading.head.snapshot - self.snapshot_interval
             superfluous = range(max(1, oldest), reading.head.snapshot)
             await self.platform.table.transact(
                 Transaction(
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -18,7 +18,7 @@
     LedgerUnavailable,
 )
 from jaypier.notes.keeper import ConfigurationKeeper
-from jaypier.notes.ledger import SNAPSHOT_INTERVAL, Ledger
+from jaypier.notes.ledger import Ledger
 from jaypier.notes.model import ReleaseNote
 from jaypier.notes.validation import NoteRefusal, RefusalKind
 
@@ -95,26 +95,31 @@
             await self._catch_up()
             return NoteAnswer(note.id, NoteStatus.ACCEPTED, error.version)
         except CommitUnknown as error:
-            reason = f"{error}; ask again for note {note.id!r}, or resend it unchanged"
-            return NoteAnswer(note.id, NoteStatus.UNKNOWN, reasons=[reason])
+            return _unknown(note, error)
         except (LedgerError, FenceError) as error:
-            return _refused(note, NoteRefusal(RefusalKind.UNAVAILABLE, [str(error)]))
+            refusal = NoteRefusal(RefusalKind.UNAVAILABLE, [str(error)])
+            return await self._refuse_unless_accepted(note, refusal)
         if isinstance(outcome, NoteRefusal):
             return await self._refuse_unless_accepted(note, outcome)
         self.metrics.count("notes.accepted")
         return NoteAnswer(note.id, NoteStatus.ACCEPTED, outcome.version)
 
     async def _refuse_unless_accepted(self, note: ReleaseNote, refusal: NoteRefusal) -> NoteAnswer:
-        """Tell a resent note, which conflicts with itself, that it was accepted."""
+        """Refuse a note, unless it is a resend of one that was accepted or may have been.
+
+        A resent note conflicts with itself, and in an outage nobody can tell whether an earlier
+        copy was accepted.
+        """
         try:
+            if await self.ledger.is_unrecorded(note.id):
+                self.metrics.count(f"notes.refused.{refusal.kind.value}")
+                return _refused(note, refusal)
             version = await self.ledger.find_note(note.id)
-        except LedgerUnavailable as error:
-            reason = f"{error}; ask again for note {note.id!r}"
-            return NoteAnswer(note.id, NoteStatus.UNKNOWN, reasons=[reason])
-        if version is not None:
-            return NoteAnswer(note.id, NoteStatus.ACCEPTED, version)
-        self.metrics.count(f"notes.refused.{refusal.kind.value}")
-        return _refused(note, refusal)
+        except LedgerError as error:
+            return _unknown(note, error)
+        if version is None:
+            return _unknown(note, "it is recorded, but its version cannot be read now")
+        return NoteAnswer(note.id, NoteStatus.ACCEPTED, version)
 
     async def commit(self, planner: EntryPlanner) -> ConfigurationEntry | NoteRefusal | None:
         """Plan and commit an entry, planning anew when another commit came first.
@@ -142,7 +147,7 @@
         raise LedgerUnavailable(f"lost {RACE_ATTEMPTS} races against other commits; try again")
 
     async def _compact(self, version: int) -> None:
-        if version % SNAPSHOT_INTERVAL:
+        if version % self.ledger.snapshot_interval:
             return
         try:
             await self.ledger.compact(self.keeper.configuration)
@@ -171,6 +176,11 @@
         return NoteAnswer(note_id, NoteStatus.ACCEPTED, version)
 
 
+def _unknown(note: ReleaseNote, why: object) -> NoteAnswer:
+    reason = f"{why}; ask again for note {note.id!r}, or resend it unchanged"
+    return NoteAnswer(note.id, NoteStatus.UNKNOWN, reasons=[reason])
+
+
 def _refused(note: ReleaseNote, refusal: NoteRefusal) -> NoteAnswer:
     return NoteAnswer(
         note.id, NoteStatus.REFUSED, kind=refusal.kind.value, reasons=list(refusal.reasons)
