--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -50,6 +50,8 @@
     :param expected: the ``attrs`` class to build.
     :raises DecodeError: for unknown keys, missing keys and wrong types.
     """
+    if not isinstance(value, dict):
+        raise DecodeError([f"expected an object, got {type(value).__name__}"])
     try:
         return strict_converter.structure(value, expected)
     except cattrs.BaseValidationError as error:
--- a/src/jaypier/daemon/settings.py
+++ b/src/jaypier/daemon/settings.py
@@ -157,13 +157,11 @@
         raise SettingsError([f"{path}: cannot be read: {error}; check the path"]) from error
     try:
         value = json5.loads(text, allow_duplicate_keys=False)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         detail = str(error).removeprefix("<string>:")
         raise SettingsError(
             [f"{path}: not JSON with comments: line {detail}; correct the syntax"]
         ) from error
-    if not isinstance(value, dict):
-        raise SettingsError([f"{path}: holds no object; write {{...}}"])
     try:
         return structure_strictly(value, Settings)
     except DecodeError as error:
--- a/src/jaypier/operators/api.py
+++ b/src/jaypier/operators/api.py
@@ -259,7 +259,7 @@
     """
     try:
         value = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         value = _read_commented(body)
     return structure_strictly(value, ReleaseNote)
 
