Scheduling: a pass costs what has changed, not what runs

Every pass went through all gangs, all workers and the whole configuration.

Change: the scheduler was split by duty (state with indexes, lifecycle, placing, commands, takeover); gangs are advanced when a report, a loss or a timer concerns them; a configuration is taken over by the jobs that its entries touch; whole capacity is kept between passes.

24 tests of the slice, the stateful machine among them, hold unchanged but for moved names.

--- a/src/jaypier/notes/configuration.py
+++ b/src/jaypier/notes/configuration.py
@@ -123,6 +123,14 @@
         ]
 
 
+def touched_jobs(entry: ConfigurationEntry) -> set[str]:
+    """Return the jobs that an entry adds, changes, withdraws, moves, marks or retires."""
+    note = entry.note
+    named = [job.name for job in [*note.added.jobs, *note.changed.jobs]]
+    moved_or_ended = [*entry.assignments, *entry.released, *entry.retired]
+    return {*named, *note.withdrawn.jobs, *moved_or_ended}
+
+
 def apply_entry(configuration: Configuration, entry: ConfigurationEntry) -> Configuration:
     """Return the configuration after one entry.
 
--- a/src/jaypier/operators/api.py
+++ b/src/jaypier/operators/api.py
@@ -201,7 +201,7 @@
             return await self._ended_job(name)
         data_centre = configuration.assignments.get(name, "")
         owner = self.node.scheduling.owners.get(data_centre)
-        if owner is not None and name in owner.scheduler.gangs:
+        if owner is not None and name in owner.scheduler.state.gangs:
             summary = owner.summarize(name, self.node.clock.now())
             return ok({"job": name, "state": summary.phase, "gang": to_plain(summary)})
         if not request.target.endswith(LOCAL_QUERY):
--- a/src/jaypier/scheduling/claims.py
+++ b/src/jaypier/scheduling/claims.py
@@ -30,9 +30,9 @@
     """Homes of one data centre and how far gangs have claimed them.
 
     :param configuration: configuration in force.
-    :param gangs: active gangs of the data centre.
-    :param workers: workers that can be used, by name.
-    :param capacity: present free accelerators, to choose workers with little to preempt.
+    :param gangs: gangs that claim homes.
+    :param workers: workers of the data centre, by name.
+    :param capacity: free accelerators of the workers that can be used.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         open_tasks = {
             worker: tasks - self.claimed[home.key, worker]
             for worker, tasks in home.workers.items()
-            if worker in self.workers and worker not in avoided
+            if worker in self.capacity.rack_of and worker not in avoided
         }
         placement: dict[str, int] = {}
         left = gang.job.tasks
@@ -131,8 +131,8 @@
     def _place_off_home(self, gang: Gang, avoided: set[str]) -> dict[str, int] | None:
         """Choose workers from capacity that is in nobody's home."""
         unreserved = Capacity(
-            (name, worker.rack, max(0, worker.accelerators - self.reserved[name]))
-            for name, worker in self.workers.items()
+            (name, rack, max(0, self.workers[name].accelerators - self.reserved[name]))
+            for name, rack in self.capacity.rack_of.items()
             if name not in avoided
         )
         job = gang.job
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -9,7 +9,7 @@
 
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
-from jaypier.notes.configuration import Configuration
+from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.errors import LedgerError
 from jaypier.platform import Machine
 from jaypier.scheduling.model import Decisions, GangPhase, WorkerReport
@@ -58,9 +58,10 @@
 
 @attrs.frozen
 class ConfigurationChanged:
-    """A newer configuration."""
+    """A newer configuration, and the entries that lead to it if they are known."""
 
     configuration: Configuration
+    entries: list[ConfigurationEntry] = attrs.field(factory=list)
 
 
 OwnerMessage = SessionMessage | MachinesChanged | ConfigurationChanged
@@ -197,14 +198,14 @@
         if isinstance(message, WorkerReport):
             self.scheduler.on_report(message, now)
             if self.scheduler.commands_for(message.worker, now, self.may_start):
-                self.scheduler.dirty.add(message.worker)
+                self.scheduler.state.dirty.add(message.worker)
         elif isinstance(message, WorkerSilent):
             self.metrics.count("workers.silent_exchanges")
         elif isinstance(message, EpochLost):
             self.is_deposed = True
             self.on_succeeded(self, message.epoch)
         elif isinstance(message, ConfigurationChanged):
-            self.scheduler.on_configuration(message.configuration, now)
+            self.scheduler.on_configuration(message.configuration, now, message.entries)
         elif isinstance(message, MachinesChanged):
             self.scheduler.on_machines(message.machines)
             await self.update_sessions(message.machines)
@@ -212,7 +213,7 @@
     async def update_sessions(self, machines: list[Machine]) -> None:
         """Open a session for each new worker and close those of forgotten workers."""
         interval = renewal_interval(len(machines))
-        self.scheduler.lease_seconds = interval * RENEWALS_PER_LEASE
+        self.scheduler.state.lease_seconds = interval * RENEWALS_PER_LEASE
         for machine in machines:
             if machine.id not in self.sessions:
                 session = WorkerSession(
@@ -264,22 +265,22 @@
             scheduler.is_rebuilt,
             self.may_start,
             {name: self._describe_worker(name, now) for name in sorted(scheduler.workers)},
-            scheduler.capacity.free_total,
-            scheduler.capacity.largest_adjacent_block,
-            [self.summarize(name, now) for name in sorted(scheduler.gangs)],
+            scheduler.state.capacity.free_total,
+            scheduler.state.capacity.largest_adjacent_block,
+            [self.summarize(name, now) for name in sorted(scheduler.state.gangs)],
         )
 
     def _describe_worker(self, name: str, now: float) -> str:
         worker = self.scheduler.workers[name]
         if not worker.is_reachable:
             return "unreachable"
-        if self.scheduler.health.is_quarantined(name, now):
+        if self.scheduler.state.health.is_quarantined(name, now):
             return "quarantined"
         return "listed" if worker.is_listed else "leaving"
 
     def summarize(self, job: str, now: float) -> GangSummary:
         """Return the summary of one gang."""
-        gang = self.scheduler.gangs[job]
+        gang = self.scheduler.state.gangs[job]
         waiting = now - gang.queued_at if gang.phase is GangPhase.QUEUED else 0.0
         return GangSummary(
             job,
--- a/src/jaypier/scheduling/service.py
+++ b/src/jaypier/scheduling/service.py
@@ -110,7 +110,7 @@
     ) -> None:
         """Pass a new configuration on to every owner."""
         for owner in self.owners.values():
-            owner.deliver(ConfigurationChanged(configuration))
+            owner.deliver(ConfigurationChanged(configuration, entries))
 
     def on_machines(self) -> None:
         """Pass a new reading of the platform's list on to every owner."""
--- a/src/jaypier/scheduling/tests/builders.py
+++ b/src/jaypier/scheduling/tests/builders.py
@@ -4,14 +4,13 @@
 
 from jaypier.core.clock import VirtualClock
 from jaypier.core.metrics import Metrics
-from jaypier.notes.configuration import Configuration, apply_entry
-from jaypier.notes.model import Entities, GuaranteedShape, Job, ReleaseNote, Team, Withdrawals
+from jaypier.notes.model import Entities, GuaranteedShape, Job, Team
 from jaypier.platform import Machine, MachineKind
-from jaypier.scheduling.assignment import SchedulerChange, plan_change, plan_note
 from jaypier.scheduling.model import GangPhase, TaskState, WorkerReport
 from jaypier.scheduling.scheduler import DataCentreScheduler
 from jaypier.workers.errors import EpochRefused
 from jaypier.workers.protocol import ControlRequest
+from standins.ledger import FakeLedger
 from standins.worker import SimulatedWorker
 
 LEASE = 8.0
@@ -49,39 +48,6 @@
     ]
 
 
-class FakeLedger:
-    """The accepted configuration as one variable."""
-
-    def __init__(self, machines: list[Machine]) -> None:
-        self.machines = machines
-        self.configuration = Configuration()
-        self.outcomes = {}
-        self.count = 0
-
-    def submit(self, added: Entities | None = None, **sections):
-        """Commit a note, or return its refusal."""
-        self.count += 1
-        note = ReleaseNote(f"note-{self.count}", added=added or Entities(), **sections)
-        planned = plan_note(note, self.configuration, self.machines)
-        if planned.is_error():
-            return planned.error
-        self.configuration = apply_entry(self.configuration, planned.ok)
-        return None
-
-    def withdraw(self, *jobs: str):
-        """Commit a note that cancels jobs."""
-        return self.submit(withdrawn=Withdrawals(jobs=list(jobs)))
-
-    def commit(self, decisions) -> None:
-        """Commit a scheduler's decisions."""
-        change = SchedulerChange(decisions.retired, decisions.moved, decisions.to_mark)
-        self.count += 1
-        entry = plan_change(f"change-{self.count}", change, self.configuration, self.machines)
-        if entry is not None:
-            self.outcomes |= entry.retired
-            self.configuration = apply_entry(self.configuration, entry)
-
-
 class Bench:
     """One scheduler with simulated workers in virtual time."""
 
@@ -125,7 +91,7 @@
             return
         commands = self.scheduler.commands_for(name, now, self.may_start)
         lease_until = self.scheduler.renew(name, now)
-        request = ControlRequest(self.scheduler.epoch, "owner", lease_until, commands)
+        request = ControlRequest(self.scheduler.state.epoch, "owner", lease_until, commands)
         try:
             reply = self.workers[name].control(request)
         except EpochRefused:
@@ -170,7 +136,7 @@
     """
     fixed: Counter[str] = Counter()
     claimed: Counter[tuple] = Counter()
-    for gang in scheduler.gangs.values():
+    for gang in scheduler.state.gangs.values():
         if gang.is_active and not gang.is_evictable and gang.phase is not GangPhase.STOPPING:
             for name, tasks in gang.placement.items():
                 fixed[name] += tasks * gang.job.accelerators_per_task
@@ -179,5 +145,5 @@
         for name, tasks in home.workers.items():
             open_tasks = max(0, tasks - claimed[home.key, name])
             fixed[name] += open_tasks * home.shape.accelerators_per_task
-    for name in scheduler.capacity.rack_of:
+    for name in scheduler.state.capacity.rack_of:
         assert fixed[name] <= scheduler.workers[name].accelerators, (name, fixed[name])
--- a/src/jaypier/scheduling/tests/test_scheduler.py
+++ b/src/jaypier/scheduling/tests/test_scheduler.py
@@ -7,8 +7,8 @@
 from jaypier.notes.configuration import JobState
 from jaypier.notes.model import Adjacency, DataCentre, Entities, GuaranteedShape, Team
 from jaypier.notes.validation import RefusalKind
+from jaypier.scheduling.commands import START_VALID_SECONDS
 from jaypier.scheduling.model import Decisions, GangPhase
-from jaypier.scheduling.scheduler import START_VALID_SECONDS
 from jaypier.scheduling.tests.builders import (
     LEASE,
     Bench,
@@ -70,7 +70,7 @@
         homeless = attrs.evolve(bench.ledger.configuration, reservations=[])
         bench.scheduler.on_configuration(homeless, bench.clock.now())
         bench.scheduler.decide(bench.clock.now(), True)
-        self.assertThat(bench.scheduler.gangs["fixed"].phase, Equals(GangPhase.QUEUED))
+        self.assertThat(bench.scheduler.state.gangs["fixed"].phase, Equals(GangPhase.QUEUED))
 
     def test_smallest_team_goes_first_when_capacity_has_shrunk(self):
         teams = [
@@ -110,7 +110,7 @@
         bench.cut.clear()
         bench.run(15)
         self.assertThat(bench.running("wide"), Equals(6))
-        self.assertThat(bench.scheduler.gangs["wide"].attempt, GreaterThan(1))
+        self.assertThat(bench.scheduler.state.gangs["wide"].attempt, GreaterThan(1))
         self.assertThat(gang_faults(bench.log(), {"wide": 6}), Equals([]))
 
     def test_gang_stops_whole_within_one_lease_of_a_lost_worker(self):
@@ -129,7 +129,7 @@
         bench.submit(job)
         bench.run(3)
         self.assertThat(bench.running("once"), Equals(3))
-        victim = next(iter(bench.scheduler.gangs["once"].placement))
+        victim = next(iter(bench.scheduler.state.gangs["once"].placement))
         bench.cut.add(victim)
         bench.run(3 * LEASE)
         self.assertThat(bench.ledger.outcomes["once"].state, Equals(JobState.UNKNOWN))
@@ -144,7 +144,7 @@
         bench.scheduler.on_configuration(bench.ledger.configuration, bench.clock.now())
         bench.run(2)
         self.assertThat(bench.running("wide"), Equals(0))
-        self.assertThat(bench.scheduler.gangs, Equals({}))
+        self.assertThat(bench.scheduler.state.gangs, Equals({}))
 
 
 class TestDeparture(testtools.TestCase):
@@ -159,7 +159,7 @@
         bench.ledger.submit(Entities(data_centres=[DataCentre("here", False)]))
         bench.scheduler.on_configuration(bench.ledger.configuration, bench.clock.now())
         bench.run(4)
-        here = [name for name in bench.scheduler.gangs if bench.running(name)]
+        here = [name for name in bench.scheduler.state.gangs if bench.running(name)]
         self.assertNotIn("wide", here)
         self.assertThat(bench.ledger.configuration.assignments["wide"], Equals("there"))
 
@@ -186,7 +186,7 @@
         bench.run(1)
         bench.submit(make_job("late", "small", 1, 4))
         bench.scheduler.decide(bench.clock.now(), True)
-        worker = next(iter(bench.scheduler.gangs["late"].placement))
+        worker = next(iter(bench.scheduler.state.gangs["late"].placement))
         commands = bench.scheduler.commands_for(worker, bench.clock.now(), True)
         bench.clock.advance(START_VALID_SECONDS + 0.1)
         bench.workers[worker].control(ControlRequest(1, "owner", 0.0, commands))
@@ -212,7 +212,7 @@
         bench.run(3)
         bench.take_over()
         bench.run(3)
-        self.assertThat(bench.scheduler.gangs["wide"].phase, Equals(GangPhase.RUNNING))
+        self.assertThat(bench.scheduler.state.gangs["wide"].phase, Equals(GangPhase.RUNNING))
         bench.run(30)
         self.assertThat(bench.ledger.outcomes["wide"].state, Equals(JobState.DONE))
         self.assertThat({entry.task.epoch for entry in bench.log()}, Equals({1}))
@@ -249,7 +249,9 @@
         bench.run(60)
         done = [each for each in bench.ledger.outcomes.values() if each.state is JobState.DONE]
         self.assertThat(done, HasLength(20))
-        self.assertThat(bench.scheduler.metrics.counters["workers.quarantined"], GreaterThan(0))
+        self.assertThat(
+            bench.scheduler.state.metrics.counters["workers.quarantined"], GreaterThan(0)
+        )
 
     def test_job_that_fails_everywhere_gets_a_final_answer(self):
         bench = Bench()
@@ -258,7 +260,9 @@
         outcome = bench.ledger.outcomes["broken"]
         self.assertThat(outcome.state, Equals(JobState.IMPOSSIBLE))
         self.assertIn("exited with status 1", outcome.reason)
-        self.assertThat(bench.scheduler.health.quarantined_count(bench.clock.now()), Equals(0))
+        self.assertThat(
+            bench.scheduler.state.health.quarantined_count(bench.clock.now()), Equals(0)
+        )
 
     def test_job_that_never_fits_gets_a_final_answer(self):
         bench = Bench()
--- a/src/jaypier/scheduling/tests/test_stateful.py
+++ b/src/jaypier/scheduling/tests/test_stateful.py
@@ -23,13 +23,13 @@
 from jaypier.scheduling.tests.builders import (
     DATA_CENTRE,
     LEASE,
-    FakeLedger,
     assert_reclaimable,
     worker_machines,
 )
 from jaypier.workers.errors import EpochRefused
 from jaypier.workers.protocol import ControlRequest
 from standins.checks import DEPARTURE_SECONDS, gang_faults
+from standins.ledger import FakeLedger
 from standins.worker import SimulatedWorker, WorkerFaults
 
 MACHINES = worker_machines(2, 3) + worker_machines(1, 3, data_centre="there")
@@ -134,7 +134,7 @@
         now = self.clock.now()
         commands = owner.scheduler.commands_for(name, now, self.may_start(owner))
         request = ControlRequest(
-            owner.scheduler.epoch, "owner", owner.scheduler.renew(name, now), commands
+            owner.scheduler.state.epoch, "owner", owner.scheduler.renew(name, now), commands
         )
         self.deliver(owner, name, request, is_reply_lost)
 
@@ -362,7 +362,7 @@
             if not self.ledger.configuration.jobs_in(DATA_CENTRE):
                 break
         stuck = {
-            job.name: self.owner.scheduler.gangs.get(job.name)
+            job.name: self.owner.scheduler.state.gangs.get(job.name)
             for job in self.ledger.configuration.jobs_in(DATA_CENTRE)
         }
         assert not stuck, stuck
