Scheduling: jobs without a home wait in one pool; data centres with room pull them

A job was assigned to a data centre when its note was accepted; there it waited behind whatever came, while others stood empty. Workers kept free for a large gang blocked a whole data centre for jobs that had nowhere else to go.

Ruled out: moving queued jobs by reported load (reports lag, and each move is a commit too).

Change: only jobs with an open home of their team are assigned at acceptance. The others have no data centre; an owner that has room pulls the oldest that fit, in one commit for many, and gives back a gang that finds no room after all. A large gang that has waited for long is pulled by the data centre that has the least work to clear for it. The simulated workers now share checkpoints, as the platform's object store would.

--- a/measurements/replay.py
+++ b/measurements/replay.py
@@ -294,9 +294,10 @@
         centres = [DataCentre(place) for place in DATA_CENTRES]
         refusal = self.ledger.submit(Entities(list(workload.teams), data_centres=centres))
         assert refusal is None, refusal
+        checkpoints: dict[tuple, float] = {}
         self.workers = {
             machine.id: SimulatedWorker(
-                machine.id, machine.accelerators, self.clock.now, self.clock.now
+                machine.id, machine.accelerators, self.clock.now, self.clock.now, checkpoints
             )
             for machine in listed
         }
@@ -333,7 +334,7 @@
                 if not decisions.is_empty:
                     for job in decisions.retired:
                         self.finished.setdefault(job, self.clock.now())
-                    self.ledger.commit(decisions)
+                    self.ledger.commit(decisions, scheduler.state.data_centre)
                     self.publish()
         self.sample()
         self.clock.advance(STEP_SECONDS)
@@ -356,6 +357,8 @@
         free = sum(scheduler.state.capacity.free_total for scheduler in in_service)
         block = max(scheduler.state.capacity.largest_adjacent_block for scheduler in in_service)
         gangs = [gang for each in self.schedulers.values() for gang in each.state.gangs.values()]
+        pool = next(iter(self.schedulers.values())).state.pool
+        jobs = [self.ledger.configuration.jobs[name] for name in pool]
         busy = sum(gang.job.accelerators for gang in gangs if gang.phase == "running")
         waiting = sum(
             gang.phase == "queued"
@@ -363,6 +366,7 @@
             and gang.job.accelerators <= free
             for gang in gangs
         )
+        waiting += sum(job.name.startswith("large") and job.accelerators <= free for job in jobs)
         self.samples.append(Sample(self.clock.now(), free, block, busy, waiting))
 
 
--- a/src/jaypier/notes/configuration.py
+++ b/src/jaypier/notes/configuration.py
@@ -77,7 +77,7 @@
     :param version: version of the configuration that results.
     :param note: the operators' note; empty sections for a scheduler's own change.
     :param reservations: new homes of all guaranteed shapes, ``None`` to keep the present ones.
-    :param assignments: data centre for each job that is new or moved.
+    :param assignments: data centre for each job that gets one; empty to take it away again.
     :param released: jobs that cannot be preempted and whose tasks are about to be released.
     :param retired: outcome of each job that has ended.
     """
@@ -94,7 +94,8 @@
 class Configuration:
     """Everything that is in force at one version; never changed in place.
 
-    :param assignments: data centre that each unfinished job is assigned to.
+    :param assignments: data centre of each unfinished job that has one. Any data centre that
+        has room may claim the others.
     :param released: jobs that cannot be preempted and may have run; those of them that are not
         repeatable are never started again.
     :param revisions: version at which each entity was last touched.
@@ -147,7 +148,7 @@
         teams=_merge(configuration.teams, entry, "teams"),
         jobs=jobs,
         data_centres=_merge(configuration.data_centres, entry, "data_centres"),
-        assignments={name: place for name, place in assignments.items() if name in jobs},
+        assignments={name: place for name, place in assignments.items() if place and name in jobs},
         reservations=(
             configuration.reservations if entry.reservations is None else entry.reservations
         ),
--- a/src/jaypier/scheduling/assignment.py
+++ b/src/jaypier/scheduling/assignment.py
@@ -1,5 +1,7 @@
 """Assigns jobs to data centres and plans the configuration entry of a change; no I/O."""
 
+from collections import Counter
+
 import attrs
 from expression import Error, Ok, Result
 
@@ -14,12 +16,7 @@
 from jaypier.notes.model import Job, ReleaseNote
 from jaypier.notes.validation import NoteRefusal, RefusalKind, check_note
 from jaypier.platform import Machine
-from jaypier.scheduling.placement import place_gang
-from jaypier.scheduling.reservations import (
-    capacities_in_service,
-    is_home,
-    plan_reservations,
-)
+from jaypier.scheduling.reservations import is_home, plan_reservations
 
 
 @attrs.frozen
@@ -27,12 +24,14 @@
     """A change that a data centre's owner needs, not an operator.
 
     :param retired: outcome of each job that has ended.
-    :param moved: jobs to assign to another data centre.
+    :param moved: jobs that their data centre gives back.
+    :param pulled: data centre for jobs that have none; one that has got one since keeps it.
     :param released: jobs that cannot be preempted and are about to be released.
     """
 
     retired: dict[str, JobOutcome] = attrs.field(factory=dict)
     moved: list[str] = attrs.field(factory=list)
+    pulled: dict[str, str] = attrs.field(factory=dict)
     released: dict[str, Pin] = attrs.field(factory=dict)
 
 
@@ -63,7 +62,7 @@
         ]
         if new:
             return Error(NoteRefusal(RefusalKind.SHORTFALL, [str(each) for each in new]))
-    return Ok(_complete(entry, changed, plan.reservations, machines, set()))
+    return Ok(_complete(entry, changed, plan.reservations, {}))
 
 
 def plan_change(
@@ -83,13 +82,20 @@
         for name, pin in change.released.items()
         if name in jobs and configuration.released.get(name) != pin and name not in retired
     }
-    moved = {name for name in change.moved if name in jobs and name not in retired}
+    moved = {name: "" for name in change.moved if name in configuration.assignments}
+    pulled = {
+        name: place
+        for name, place in change.pulled.items()
+        if name in jobs
+        and name not in configuration.assignments
+        and configuration.in_service(place)
+    }
     entry = ConfigurationEntry(
         configuration.version + 1, ReleaseNote(change_id), released=released, retired=retired
     )
     changed = apply_entry(configuration, entry)
     plan = plan_reservations(changed, machines)
-    entry = _complete(entry, changed, plan.reservations, machines, moved)
+    entry = _complete(entry, changed, plan.reservations, {**moved, **pulled})
     is_empty = not (entry.retired or entry.released or entry.assignments)
     return None if is_empty and entry.reservations is None else entry
 
@@ -98,22 +104,22 @@
     entry: ConfigurationEntry,
     changed: Configuration,
     reservations: list[Reservation],
-    machines: list[Machine],
-    moved: set[str],
+    wanted: dict[str, str],
 ) -> ConfigurationEntry:
-    """Add reservations and assignments to an entry."""
-    assigner = JobAssigner(changed, reservations, machines)
-    unassigned = [
-        job
-        for name, job in changed.jobs.items()
-        if name not in changed.assignments or name in moved
-    ]
-    assignments = {job.name: assigner.assign(job) for job in unassigned}
-    assignments = {
-        name: place
-        for name, place in assignments.items()
-        if place and place != changed.assignments.get(name)
-    }
+    """Add reservations and assignments to an entry.
+
+    A job goes where it has a home that is open. Other jobs are left without a data centre:
+    the first one that has room pulls them.
+
+    :param wanted: assignments that owners ask for, empty names for jobs given back.
+    """
+    homes = HomeFinder(changed, reservations, set(wanted))
+    assignments = {}
+    for name, job in changed.jobs.items():
+        if name in wanted or name not in changed.assignments:
+            place = wanted.get(name) or homes.find(job)
+            if place != changed.assignments.get(name, ""):
+                assignments[name] = place
     return attrs.evolve(
         entry,
         reservations=None if reservations == changed.reservations else reservations,
@@ -121,82 +127,43 @@
     )
 
 
-class JobAssigner:
-    """Chooses a data centre for each job.
+class HomeFinder:
+    """Finds open homes for jobs.
 
     :param configuration: configuration with the jobs that are assigned already.
     :param reservations: homes of guaranteed shapes.
-    :param machines: the platform's list.
+    :param leaving: jobs whose assignment is about to change.
     """
 
     def __init__(
-        self,
-        configuration: Configuration,
-        reservations: list[Reservation],
-        machines: list[Machine],
+        self, configuration: Configuration, reservations: list[Reservation], leaving: set[str]
     ) -> None:
-        self.reservations = reservations
-        self.capacities = capacities_in_service(machines, configuration)
-        self.sizes = {name: each.free_total for name, each in self.capacities.items()}
-        self.load = dict.fromkeys(self.capacities, 0)
-        self.claimed: dict[str, int] = {}
+        self.by_team: dict[str, list[Reservation]] = {}
+        for home in reservations:
+            self.by_team.setdefault(home.team, []).append(home)
+        self.claimed: Counter[str] = Counter()
         for name, place in configuration.assignments.items():
-            if place in self.load:
+            if name not in leaving:
                 self._count(configuration.jobs[name], place)
 
-    def assign(self, job: Job) -> str:
-        """Return the data centre for a job, empty when none is in service.
+    def find(self, job: Job) -> str:
+        """Return the data centre of a home for a job, empty when it has none that is open.
 
-        A home of the team that has room left goes first, then the data centre with the
-        lowest assigned load among those that the gang fits in. A job that cannot be preempted
-        only goes where it has a home, and waits unassigned while it has none.
+        A job that cannot be preempted waits at its home until that is open.
         """
-        if not self.sizes:
+        homes = [home for home in self.by_team.get(job.team, []) if is_home(home, job)]
+        open_homes = [home for home in homes if self._is_open(home, job)]
+        chosen = open_homes or ([] if job.preemptible else homes)
+        if not chosen:
             return ""
-        place = self._home(job)
-        if not place and not job.preemptible:
-            homes = [each for each in self.reservations if is_home(each, job)]
-            place = homes[0].data_centre if homes else ""
-        elif not place:
-            place = self._least_loaded(job)
-        if place:
-            self._count(job, place)
-        return place
-
-    def _count(self, job: Job, place: str) -> None:
-        self.load[place] += job.accelerators
-        home = self._open_home(job, place)
-        if home is not None:
-            self.claimed[home.key] = self.claimed.get(home.key, 0) + job.tasks
+        self._count(job, chosen[0].data_centre)
+        return chosen[0].data_centre
 
-    def _home(self, job: Job) -> str:
-        homes = [each for each in self.reservations if self._is_open_home(each, job)]
-        return homes[0].data_centre if homes else ""
+    def _is_open(self, home: Reservation, job: Job) -> bool:
+        return home.shape.tasks - self.claimed[home.key] >= job.tasks
 
-    def _open_home(self, job: Job, place: str) -> Reservation | None:
-        homes = (
-            each
-            for each in self.reservations
-            if each.data_centre == place and self._is_open_home(each, job)
-        )
-        return next(homes, None)
-
-    def _is_open_home(self, reservation: Reservation, job: Job) -> bool:
-        room = reservation.shape.tasks - self.claimed.get(reservation.key, 0)
-        return (
-            reservation.data_centre in self.sizes
-            and is_home(reservation, job)
-            and room >= job.tasks
-        )
-
-    def _least_loaded(self, job: Job) -> str:
-        shape = (job.tasks, job.accelerators_per_task, job.adjacency)
-        fitting = [
-            name
-            for name, capacity in self.capacities.items()
-            if place_gang(capacity, *shape) is not None
-        ]
-        return min(
-            fitting or self.sizes,
-            key=lambda name: ((self.load[name] + job.accelerators) / self.sizes[name], name),
-        )
+    def _count(self, job: Job, place: str) -> None:
+        for home in self.by_team.get(job.team, []):
+            if home.data_centre == place and is_home(home, job) and self._is_open(home, job):
+                self.claimed[home.key] += job.tasks
+                return
--- a/src/jaypier/scheduling/capacity.py
+++ b/src/jaypier/scheduling/capacity.py
@@ -1,6 +1,6 @@
 """Free accelerators of one data centre, by worker and rack, with cached sums."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 import attrs
 
@@ -90,7 +90,11 @@
                 free = self.racks[rack].free[worker] + sign * tasks * accelerators_per_task
                 self.racks[rack].set_free(worker, free)
 
-    def without(self, excluded: set[str]) -> "Capacity":
+    def copy(self) -> "Capacity":
+        """Return a copy."""
+        return self.without(set())
+
+    def without(self, excluded: Set[str]) -> "Capacity":
         """Return a copy without some workers."""
         return Capacity(
             (worker, rack.name, free)
--- a/src/jaypier/scheduling/lifecycle.py
+++ b/src/jaypier/scheduling/lifecycle.py
@@ -191,8 +191,12 @@
         state = self.state
         configuration = state.configuration
         gang = state.gangs.get(name)
-        is_here = configuration.assignments.get(name) == state.data_centre
-        if not is_here or name not in configuration.jobs:
+        place = configuration.assignments.get(name, "")
+        is_known = name in configuration.jobs
+        seen_at = state.pool.pop(name, now)
+        if is_known and not place:
+            state.pool[name] = seen_at
+        if not is_known or place != state.data_centre:
             state.retired.pop(name, None)
             state.moved.discard(name)
             if gang is not None:
@@ -202,7 +206,7 @@
         if gang is not None and gang.revision != revision:
             self._cancel(gang, now)
         elif gang is None and name not in state.retired and name not in state.moved:
-            state.add_gang(Gang(configuration.jobs[name], revision, now))
+            state.add_gang(Gang(configuration.jobs[name], revision, seen_at, adopted_at=now))
 
     def _cancel(self, gang: Gang, now: float) -> None:
         """Stop a gang whose job was withdrawn, changed or moved."""
--- a/src/jaypier/scheduling/model.py
+++ b/src/jaypier/scheduling/model.py
@@ -118,6 +118,7 @@
     """One job in the data centre that it is assigned to.
 
     :param queued_at: time since when it waits, in seconds.
+    :param adopted_at: time at which it came to this data centre, or queued here again.
     :param not_before: time before which it is not started again, in seconds.
     :param placement: number of tasks on each worker, empty while queued.
     :param claim: key of the reservation that it runs in, ``None`` for lent capacity.
@@ -128,12 +129,12 @@
     :param is_own_mark: whether the present owner had the job marked as released, so that it
         knows whether the release followed.
     :param failures: how often a task of this job failed on each worker.
-    :param unfit_since: time since when it has not fitted on all listed workers, in seconds.
     """
 
     job: Job
     revision: int
     queued_at: float
+    adopted_at: float = 0.0
     attempt: int = 0
     phase: GangPhase = GangPhase.QUEUED
     not_before: float = 0.0
@@ -148,7 +149,6 @@
     stop_reason: StopReason | None = None
     detail: str = ""
     failures: Counter[str] = attrs.field(factory=Counter)
-    unfit_since: float | None = None
 
     @property
     def failed_on(self) -> set[str]:
@@ -208,15 +208,17 @@
     """What has to be committed to the ledger after one pass.
 
     :param retired: outcome of each job that has ended.
-    :param moved: jobs to assign to another data centre.
+    :param moved: jobs that this data centre gives back.
+    :param pulled: jobs without a data centre that this one has room for.
     :param to_mark: jobs that cannot be preempted, to record as released before they are.
     """
 
     retired: dict[str, JobOutcome] = attrs.field(factory=dict)
     moved: list[str] = attrs.field(factory=list)
+    pulled: list[str] = attrs.field(factory=list)
     to_mark: dict[str, Pin] = attrs.field(factory=dict)
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to commit."""
-        return not (self.retired or self.moved or self.to_mark)
+        return not (self.retired or self.moved or self.pulled or self.to_mark)
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
 import attrs
@@ -35,7 +35,7 @@
 HEARD_SECONDS = 1.5
 """Age up to which a worker's answer proves that it still obeys this owner."""
 
-Committer = Callable[[Decisions], "asyncio.Future"]
+Committer = Callable[[str, Decisions], Awaitable[None]]
 LinkFactory = Callable[[Machine], WorkerLink]
 
 
@@ -249,7 +249,7 @@
             if self.decisions.is_empty or self.is_deposed:
                 continue
             try:
-                await self.commit(self.decisions)
+                await self.commit(self.data_centre, self.decisions)
             except LedgerError:
                 self.metrics.count("scheduling.commits_failed")
                 delay = COMMIT_RETRY_SECONDS * self.rng.uniform(0.5, 1.5)
--- a/src/jaypier/scheduling/placing.py
+++ b/src/jaypier/scheduling/placing.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jaypier.notes.configuration import JobState
+from jaypier.notes.model import Job
 from jaypier.scheduling.capacity import Capacity
 from jaypier.scheduling.claims import ClaimLedger
 from jaypier.scheduling.model import Gang, GangPhase, StopReason
@@ -16,8 +16,14 @@
 EVICTION_PATIENCE_SECONDS = 60.0
 """Waiting time after which smaller preemptible gangs on those workers are preempted."""
 
-SETTLE_SECONDS = 30.0
-"""Time for which a gang must not fit on all listed workers before it is given up."""
+HAND_BACK_SECONDS = 2.0
+"""Time that a gang without a home here may wait before it is given back."""
+
+MAX_PULLED = 64
+"""Jobs that a data centre pulls at a time."""
+
+PULL_SECONDS = 1.0
+"""Time in which pulled jobs must be assigned before others are pulled."""
 
 
 @attrs.define
@@ -34,24 +40,21 @@
     def __init__(self, state: DataCentreState) -> None:
         self.state = state
         self.earmark: Earmark | None = None
-        self.whole: Capacity | None = None
+        self.pulled: list[str] = []
+        self.pulled_at = float("-inf")
         self.views: dict[frozenset[str], Capacity] = {}
 
-    def on_machines(self) -> None:
-        """Note that workers have come or gone."""
-        self.whole = None
-
     def place_queued(self, now: float) -> None:
         """Make one pass over the queued gangs."""
         state = self.state
         for name in state.workers.keys() - state.capacity.rack_of.keys():
             state.update_free(name, now)
         queued = [gang for gang in state.queued.values() if gang.not_before <= now]
+        self.views = {}
         if queued:
-            self.views = {}
             waiting = self._place_claims(queued, now)
             self._place_lent(waiting, now)
-            self._retire_impossible(waiting, now)
+            self._hand_back(waiting, now)
         if self.earmark is not None and self.earmark.job not in state.queued:
             self.earmark = None
 
@@ -113,6 +116,76 @@
                 room += gang.placement[name] * gang.job.accelerators_per_task
                 self.state.stop(gang, StopReason.PREEMPTED, now)
 
+    # Jobs without a data centre
+
+    def pull(self, now: float) -> list[str]:
+        """Return jobs without a data centre that fit here now, or that wait for this one.
+
+        The oldest go first. They are placed once the ledger has assigned them.
+        """
+        state = self.state
+        is_pending = any(name in state.pool for name in self.pulled)
+        if not state.pool or (is_pending and now - self.pulled_at < PULL_SECONDS):
+            return []
+        self.pulled = [*self._pull_for_patience(now), *self._pull_fitting()]
+        self.pulled_at = now
+        return self.pulled
+
+    def _pull_fitting(self) -> list[str]:
+        """Return the oldest jobs that fit together on what is free here now."""
+        capacity = self._capacity_without(self._kept_free()).copy()
+        pulled: list[str] = []
+        hopeless: set[tuple] = set()
+        for job in self._pool_jobs():
+            shape = (job.tasks, job.accelerators_per_task, job.adjacency)
+            if len(pulled) == MAX_PULLED or capacity.free_total == 0:
+                break
+            placement = None if shape in hopeless else place_gang(capacity, *shape)
+            if placement is not None:
+                capacity.change(placement, job.accelerators_per_task, -1)
+                pulled.append(job.name)
+                continue
+            hopeless.add(shape)
+        return pulled
+
+    def _pool_jobs(self) -> list[Job]:
+        """Return the pooled jobs that may be lent capacity, urgent and old ones first."""
+        configuration = self.state.configuration
+        jobs = [configuration.jobs[name] for name in self.state.pool]
+        return sorted(
+            (job for job in jobs if job.preemptible),
+            key=lambda job: (not job.urgent, configuration.revisions.get(f"jobs/{job.name}", 0)),
+        )
+
+    def _pull_for_patience(self, now: float) -> list[str]:
+        """Pull one large gang that has waited for long, to keep workers free for it.
+
+        The data centre with the least work on the workers that the gang needs goes first.
+        """
+        if self.earmark is not None:
+            return []
+        for job in self._pool_jobs():
+            waited = now - self.state.pool[job.name]
+            if job.tasks == 1 or waited < PATIENCE_SECONDS:
+                continue
+            workers = self._workers_to_keep_free(job)
+            if workers and waited >= PATIENCE_SECONDS * (1 + self._busy_share(workers)):
+                return [job.name]
+        return []
+
+    def _busy_share(self, workers: set[str]) -> float:
+        """Return the share of some workers' accelerators that are in use."""
+        total = sum(self.state.workers[name].accelerators for name in workers)
+        return 1 - sum(self.state.capacity.free_of(name) for name in workers) / total
+
+    def _hand_back(self, waiting: list[Gang], now: float) -> None:
+        """Give back gangs that found no room here, unless workers are kept free for them."""
+        for gang in waiting:
+            is_earmarked = self.earmark is not None and self.earmark.job == gang.job.name
+            is_stuck = gang.phase is GangPhase.QUEUED and gang.job.preemptible
+            if is_stuck and not is_earmarked and now - gang.adopted_at > HAND_BACK_SECONDS:
+                self.state.hand_on(gang)
+
     # Lent capacity
 
     def _place_lent(self, waiting: list[Gang], now: float) -> None:
@@ -140,7 +213,7 @@
         Workers that failed everything are probed by single tasks, never by larger gangs.
         """
         job = gang.job
-        kept_free = self.earmark.workers if self.earmark and not is_earmarked else set()
+        kept_free = set() if is_earmarked else self._kept_free()
         suspects = self.state.health.suspects() if job.tasks > 1 else set()
         excluded = frozenset(kept_free | suspects)
         shape = (job.tasks, job.accelerators_per_task, job.adjacency)
@@ -151,6 +224,9 @@
                 return placement
         return place_gang(self._capacity_without(excluded), *shape)
 
+    def _kept_free(self) -> frozenset[str]:
+        return frozenset(self.earmark.workers if self.earmark is not None else ())
+
     def _capacity_without(self, excluded: frozenset[str]) -> Capacity:
         """Return the capacity without some workers, built once in each pass."""
         if not excluded:
@@ -172,14 +248,14 @@
         if waited < PATIENCE_SECONDS or gang.job.tasks == 1:
             return
         if self.earmark is None:
-            workers = self._workers_to_keep_free(gang)
+            workers = self._workers_to_keep_free(gang.job)
             if workers:
                 self.earmark = Earmark(gang.job.name, workers)
                 self.state.metrics.count("gangs.earmarked")
         elif self.earmark.job == gang.job.name and waited > EVICTION_PATIENCE_SECONDS:
             self._evict_smaller(gang, now)
 
-    def _workers_to_keep_free(self, gang: Gang) -> set[str]:
+    def _workers_to_keep_free(self, job: Job) -> set[str]:
         """Choose workers that the gang would fit on once lent capacity is free."""
         potential = Capacity()
         for name, rack in self.state.capacity.rack_of.items():
@@ -190,7 +266,6 @@
                 if not other.is_evictable and other.phase is not GangPhase.STOPPING
             )
             potential.set_free(name, rack, max(0, worker.accelerators - fixed))
-        job = gang.job
         placement = place_gang(potential, job.tasks, job.accelerators_per_task, job.adjacency)
         return set(placement or {})
 
@@ -199,34 +274,3 @@
             for other in list(self.state.workers[name].assigned.values()):
                 if other.is_evictable and other.job.accelerators < gang.job.accelerators:
                     self.state.stop(other, StopReason.PREEMPTED, now)
-
-    # Jobs that can never run
-
-    def _retire_impossible(self, waiting: list[Gang], now: float) -> None:
-        """Give up gangs that would not fit even if every listed worker were free."""
-        if self.whole is None:
-            self.whole = Capacity(
-                (worker.name, worker.rack, worker.accelerators)
-                for worker in self.state.workers.values()
-                if worker.is_listed
-            )
-        verdicts: dict[tuple, bool] = {}
-        for gang in waiting:
-            job = gang.job
-            shape = (job.tasks, job.accelerators_per_task, job.adjacency)
-            if shape not in verdicts:
-                verdicts[shape] = place_gang(self.whole, *shape) is not None
-            if gang.phase is not GangPhase.QUEUED or verdicts[shape]:
-                gang.unfit_since = None
-                continue
-            gang.unfit_since = now if gang.unfit_since is None else gang.unfit_since
-            if now - gang.unfit_since >= SETTLE_SECONDS:
-                self.state.retire(gang, JobState.IMPOSSIBLE, self._why_impossible(gang))
-
-    def _why_impossible(self, gang: Gang) -> str:
-        job = gang.job
-        return (
-            f"{job.tasks} tasks with {job.accelerators_per_task} accelerators "
-            f"({job.adjacency.value} adjacency) never fit on the {len(self.state.workers)} "
-            f"workers of {self.state.data_centre}"
-        )
--- a/src/jaypier/scheduling/scheduler.py
+++ b/src/jaypier/scheduling/scheduler.py
@@ -82,8 +82,6 @@
                 changed.discard(name)
         for name in changed:
             self.state.update_free(name, workers[name].heard_at)
-        if changed:
-            self.placer.on_machines()
 
     def on_configuration(
         self,
@@ -100,7 +98,7 @@
         touched = (
             {name for entry in entries for name in touched_jobs(entry)}
             if is_next
-            else {*self.state.gangs, *self.state.retired, *configuration.assignments}
+            else {*self.state.gangs, *self.state.retired, *self.state.pool, *configuration.jobs}
         )
         if self.state.in_service:
             touched |= self.state.moved
@@ -161,14 +159,16 @@
         if not state.is_rebuilt:
             return Decisions()
         self.lifecycle.advance_all(now, may_start)
+        pulled = []
         if may_start and state.in_service:
             self.placer.place_queued(now)
+            pulled = self.placer.pull(now)
         to_mark = {
             name: state.pin(gang)
             for name, gang in state.transient.items()
             if gang.phase is GangPhase.MARKING
         }
-        return Decisions(dict(state.retired), sorted(state.moved), to_mark)
+        return Decisions(dict(state.retired), sorted(state.moved), pulled, to_mark)
 
     def take_dirty(self) -> set[str]:
         """Return the workers to contact at once, and forget them."""
--- a/src/jaypier/scheduling/service.py
+++ b/src/jaypier/scheduling/service.py
@@ -16,6 +16,7 @@
 from jaypier.notes.validation import NoteRefusal
 from jaypier.platform import Machine, MachineKind, PlatformUnavailable
 from jaypier.scheduling.assignment import SchedulerChange, plan_change, plan_note
+from jaypier.scheduling.impossible import ImpossibleJobs
 from jaypier.scheduling.model import Decisions
 from jaypier.scheduling.owner import (
     ConfigurationChanged,
@@ -38,7 +39,7 @@
 FENCE_SECONDS = 2.0
 """Time after which permits of an owner that was succeeded have certainly run out."""
 
-REPLAN_SECONDS = 1.0
+UPKEEP_SECONDS = 1.0
 """Longest time between a change of the workers and a new plan of homes."""
 
 MAJORITY = 0.5
@@ -82,7 +83,8 @@
         self.taking = asyncio.Lock()
         self.is_leaving = False
         self.planned_for: frozenset = frozenset()
-        self.workers_changed = asyncio.Event()
+        self.workers_changed = False
+        self.impossible = ImpossibleJobs()
         self.commit_count = 0
         self.tasks: list[asyncio.Task] = []
 
@@ -92,7 +94,7 @@
             asyncio.create_task(self.run_takeovers()),
             asyncio.create_task(self.run_renewals()),
             asyncio.create_task(self.run_successions()),
-            asyncio.create_task(self.run_replans()),
+            asyncio.create_task(self.run_upkeep()),
         ]
         return self
 
@@ -123,24 +125,26 @@
         )
         if workers != self.planned_for:
             self.planned_for = workers
-            self.workers_changed.set()
+            self.workers_changed = True
 
-    async def run_replans(self) -> None:
-        """Plan homes anew whenever workers come or go, until cancelled.
+    async def run_upkeep(self) -> None:
+        """Plan homes anew when workers come or go, and give up jobs that fit nowhere.
 
         One daemon does it: the owner of the first data centre.
         """
         while True:
-            await self.workers_changed.wait()
-            self.workers_changed.clear()
-            await asyncio.sleep(REPLAN_SECONDS * self.rng.uniform(0.5, 1.0))
+            await asyncio.sleep(UPKEEP_SECONDS * self.rng.uniform(0.5, 1.0))
             if next(iter(self.data_centres()), None) not in self.owners:
                 continue
-            try:
-                await self.commit(Decisions())
-            except LedgerError:
-                self.metrics.count("scheduling.replans_failed")
-                self.workers_changed.set()
+            now = self.clock.now()
+            impossible = self.impossible.check(self.keeper.configuration, self.machines(), now)
+            if impossible or self.workers_changed:
+                self.workers_changed = False
+                try:
+                    await self.commit("", Decisions(retired=impossible))
+                except LedgerError:
+                    self.metrics.count("scheduling.replans_failed")
+                    self.workers_changed = True
 
     def workers_of(self, data_centre: str) -> list[Machine]:
         """Return the listed workers of a data centre."""
@@ -313,12 +317,13 @@
 
         return await self.notes.submit(note, planner, self.fence)
 
-    async def commit(self, decisions: Decisions) -> None:
-        """Record an owner's decisions.
+    async def commit(self, data_centre: str, decisions: Decisions) -> None:
+        """Record the decisions of a data centre's owner.
 
         :raises LedgerError: when the store does not answer.
         """
-        change = SchedulerChange(decisions.retired, decisions.moved, decisions.to_mark)
+        pulled = dict.fromkeys(decisions.pulled, data_centre)
+        change = SchedulerChange(decisions.retired, decisions.moved, pulled, decisions.to_mark)
         self.commit_count += 1
         change_id = f"scheduler-{self.leases.own_id}-{self.leases.incarnation}-{self.commit_count}"
 
--- a/src/jaypier/scheduling/state.py
+++ b/src/jaypier/scheduling/state.py
@@ -24,6 +24,8 @@
 class DataCentreState:
     """Workers and gangs of one data centre.
 
+    ``pool`` holds the jobs that have no data centre yet, and since when they are known here.
+
     :param epoch: fencing epoch of the owner.
     :param lease_seconds: worker lease; workers not heard for this long have stopped all tasks.
     """
@@ -47,6 +49,7 @@
         self.is_rebuilt = False
         self.retired: dict[str, JobOutcome] = {}
         self.moved: set[str] = set()
+        self.pool: dict[str, float] = {}
         self.dirty: set[str] = set()
 
     @property
@@ -131,6 +134,7 @@
             backoff = min(MAX_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2**exponent)
             gang.not_before = now + backoff
         gang.was_released = False
+        gang.adopted_at = now
         self.enter(gang, GangPhase.QUEUED, now)
 
     def retire(self, gang: Gang, state: JobState, reason: str) -> None:
@@ -140,7 +144,7 @@
         self.drop_gang(gang)
 
     def hand_on(self, gang: Gang) -> None:
-        """Have a gang that holds no workers assigned to another data centre."""
+        """Give back a gang that holds no workers, for another data centre."""
         if self.may_have_run(gang):
             reason = "its workers were lost after it was released"
             self.retire(gang, JobState.UNKNOWN, reason)
--- a/src/jaypier/scheduling/tests/builders.py
+++ b/src/jaypier/scheduling/tests/builders.py
@@ -6,7 +6,8 @@
 from jaypier.core.metrics import Metrics
 from jaypier.notes.model import Entities, GuaranteedShape, Job, Team
 from jaypier.platform import Machine, MachineKind
-from jaypier.scheduling.model import GangPhase, TaskState, WorkerReport
+from jaypier.scheduling.impossible import ImpossibleJobs
+from jaypier.scheduling.model import Decisions, GangPhase, TaskState, WorkerReport
 from jaypier.scheduling.scheduler import DataCentreScheduler
 from jaypier.workers.errors import EpochRefused
 from jaypier.workers.protocol import ControlRequest
@@ -64,6 +65,7 @@
         self.cut: set[str] = set()
         self.may_start = True
         self.epoch = 0
+        self.impossible = ImpossibleJobs()
         self.ledger.submit(Entities(teams=two_teams() if teams is None else teams))
         self.take_over()
 
@@ -106,6 +108,11 @@
         if not decisions.is_empty:
             self.ledger.commit(decisions)
             self.scheduler.on_configuration(self.ledger.configuration, self.clock.now())
+        impossible = self.impossible.check(
+            self.ledger.configuration, self.machines, self.clock.now()
+        )
+        if impossible:
+            self.ledger.commit(Decisions(retired=impossible))
         self.clock.advance(seconds)
         for worker in self.workers.values():
             worker.tick()
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -31,9 +31,10 @@
         """Commit a note that cancels jobs."""
         return self.submit(withdrawn=Withdrawals(jobs=list(jobs)))
 
-    def commit(self, decisions: Decisions) -> None:
-        """Commit a scheduler's decisions."""
-        change = SchedulerChange(decisions.retired, decisions.moved, decisions.to_mark)
+    def commit(self, decisions: Decisions, data_centre: str = "here") -> None:
+        """Commit the decisions of a data centre's scheduler."""
+        pulled = dict.fromkeys(decisions.pulled, data_centre)
+        change = SchedulerChange(decisions.retired, decisions.moved, pulled, decisions.to_mark)
         self.count += 1
         entry = plan_change(f"change-{self.count}", change, self.configuration, self.machines)
         if entry is not None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -75,6 +75,8 @@
 
     :param clock: its monotonic clock, in seconds.
     :param wall_clock: time for its log, in seconds.
+    :param checkpoints: seconds left of tasks that were checkpointed; may be shared by workers,
+        as the platform's object store is.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         accelerators: int,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
+        checkpoints: dict[tuple, float] | None = None,
     ) -> None:
         self.name = name
         self.accelerators = accelerators
@@ -91,7 +94,7 @@
         self.epoch = 0
         self.lease_until = 0.0
         self.tasks: dict[TaskIdentity, SimulatedTask] = {}
-        self.progress: dict[tuple, float] = {}
+        self.checkpoints = {} if checkpoints is None else checkpoints
         self.faults = WorkerFaults()
         self.log: list[LogEntry] = []
         self.ticked_at = clock()
@@ -152,13 +155,16 @@
             self.record("released", task)
         elif command.kind is CommandKind.STOP and not task.state.is_final:
             if command.checkpoint:
-                key = (task.identity.job, task.identity.revision, task.identity.index)
-                self.progress[key] = task.left
+                self.checkpoints[self.checkpoint_key(task.identity)] = task.left
             task.reason = "stopped by its owner"
             self.end(task, TaskState.STOPPED)
         elif command.kind is CommandKind.FORGET and task.state.is_final:
             del self.tasks[command.task]
 
+    def checkpoint_key(self, task: TaskIdentity) -> tuple:
+        """Return what identifies a task across attempts."""
+        return (task.job, task.revision, task.index)
+
     def start(self, command: TaskCommand) -> None:
         """Start a task held, if its command is still valid and it fits."""
         used = sum(task.accelerators for task in self.tasks.values() if not task.state.is_final)
@@ -171,7 +177,7 @@
             command.task,
             TaskState.HELD,
             command.accelerators,
-            float(seconds or 1),
+            self.checkpoints.get(self.checkpoint_key(command.task), float(seconds or 1)),
             action == "fail",
         )
         self.tasks[command.task] = task
@@ -207,9 +213,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("workers", nargs="+", help="NAME=IP:PORT=ACCELERATORS")
     workers, servers = [], []
+    checkpoints: dict[tuple, float] = {}
     for text in parser.parse_args().workers:
         name, address, accelerators = text.split("=")
-        worker = SimulatedWorker(name, int(accelerators))
+        worker = SimulatedWorker(name, int(accelerators), checkpoints=checkpoints)
         workers.append(worker)
         servers.append(HttpServer(Address.parse(address), worker.handle, print_fault))
     asyncio.run(serve_until_terminated(servers, tick_all(workers)))
