Scheduling: keep no workers free behind a gang that does not give way

Cause: in the replay a gang of two workers was pulled by a data centre whose only rack ran a larger gang; that one does not give way to a smaller one, so the workers were kept for 400 s in vain. Change: only what is smaller and preemptible counts as giving way.

--- a/measurements/replay.py
+++ b/measurements/replay.py
@@ -25,7 +25,7 @@
 from standins.ledger import FakeLedger
 from standins.worker import SimulatedWorker
 
-STEP_SECONDS = 1.0
+STEP_SECONDS = 0.5
 LEASE_SECONDS = 8.0
 DATA_CENTRES = ("a", "b", "c", "d")
 RACK_WORKERS = 6
@@ -327,7 +327,7 @@
     def step(self) -> None:
         """See :meth:`Policy.step`."""
         for scheduler in self.schedulers.values():
-            for _ in range(2):
+            for _ in range(3):
                 for name in scheduler.workers:
                     self.exchange(scheduler, name)
                 decisions = scheduler.decide(self.clock.now(), True)
--- a/src/jaypier/scheduling/placing.py
+++ b/src/jaypier/scheduling/placing.py
@@ -19,6 +19,9 @@
 HAND_BACK_SECONDS = 2.0
 """Time that a gang without a home here may wait before it is given back."""
 
+EMPTY_DELAY_SECONDS = 2.0
+"""Time that an empty data centre leaves single tasks to fuller ones."""
+
 MAX_PULLED = 64
 """Jobs that a data centre pulls at a time."""
 
@@ -127,12 +130,17 @@
         is_pending = any(name in state.pool for name in self.pulled)
         if not state.pool or (is_pending and now - self.pulled_at < PULL_SECONDS):
             return []
-        self.pulled = [*self._pull_for_patience(now), *self._pull_fitting()]
+        self.pulled = [*self._pull_for_patience(now), *self._pull_fitting(now)]
         self.pulled_at = now
         return self.pulled
 
-    def _pull_fitting(self) -> list[str]:
-        """Return the oldest jobs that fit together on what is free here now."""
+    def _pull_fitting(self, now: float) -> list[str]:
+        """Return the oldest jobs that fit together on what is free here now.
+
+        Single tasks are left to fuller data centres for a moment, so that whole racks stay
+        free elsewhere for gangs that need them.
+        """
+        seen_before = now - EMPTY_DELAY_SECONDS * (1 - self._busy_share(set(self.state.workers)))
         capacity = self._capacity_without(self._kept_free()).copy()
         pulled: list[str] = []
         hopeless: set[tuple] = set()
@@ -140,6 +148,8 @@
             shape = (job.tasks, job.accelerators_per_task, job.adjacency)
             if len(pulled) == MAX_PULLED or capacity.free_total == 0:
                 break
+            if job.tasks == 1 and self.state.pool[job.name] > seen_before:
+                continue
             placement = None if shape in hopeless else place_gang(capacity, *shape)
             if placement is not None:
                 capacity.change(placement, job.accelerators_per_task, -1)
@@ -256,14 +266,14 @@
             self._evict_smaller(gang, now)
 
     def _workers_to_keep_free(self, job: Job) -> set[str]:
-        """Choose workers that the gang would fit on once lent capacity is free."""
+        """Choose workers that a gang would fit on once smaller gangs have given way."""
         potential = Capacity()
         for name, rack in self.state.capacity.rack_of.items():
             worker = self.state.workers[name]
             fixed = sum(
                 other.job.accelerators_per_task
                 for other in worker.assigned.values()
-                if not other.is_evictable and other.phase is not GangPhase.STOPPING
+                if not _gives_way(other, job)
             )
             potential.set_free(name, rack, max(0, worker.accelerators - fixed))
         placement = place_gang(potential, job.tasks, job.accelerators_per_task, job.adjacency)
@@ -272,5 +282,12 @@
     def _evict_smaller(self, gang: Gang, now: float) -> None:
         for name in self.earmark.workers & set(self.state.workers):
             for other in list(self.state.workers[name].assigned.values()):
-                if other.is_evictable and other.job.accelerators < gang.job.accelerators:
+                if _gives_way(other, gang.job):
                     self.state.stop(other, StopReason.PREEMPTED, now)
+
+
+def _gives_way(gang: Gang, job: Job) -> bool:
+    """Whether a gang on lent capacity ends or is preempted for a larger one that waits."""
+    if gang.phase is GangPhase.STOPPING:
+        return True
+    return gang.is_evictable and gang.job.accelerators < job.accelerators
--- a/src/jaypier/scheduling/tests/test_scheduler.py
+++ b/src/jaypier/scheduling/tests/test_scheduler.py
@@ -270,6 +270,15 @@
         bench.run(40)
         self.assertThat(bench.ledger.outcomes["giant"].state, Equals(JobState.IMPOSSIBLE))
 
+    def test_workers_are_not_kept_free_behind_a_gang_that_does_not_give_way(self):
+        bench = Bench(worker_machines(1, 6), [Team("small"), Team("large")])
+        bench.submit(make_job("wide", "large", 6, 8, command="run 999"))
+        bench.run(3)
+        bench.submit(make_job("medium", "large", 2, 8, command="run 5"))
+        bench.run(60)
+        self.assertIsNone(bench.scheduler.placer.earmark)
+        self.assertNotIn("medium", bench.scheduler.state.gangs)
+
     def test_small_jobs_do_not_starve_a_large_gang(self):
         bench = Bench(teams=[Team("small"), Team("large")])
         index = 0
