Scheduling: a large gang is pulled for its patience only in its turn

Cause: in overload single tasks that had waited for minutes lost workers to gangs that had waited for 20 s. Change: a gang is pulled only when no older single task waits.

--- a/src/jaypier/scheduling/placing.py
+++ b/src/jaypier/scheduling/placing.py
@@ -176,8 +176,9 @@
             return []
         for job in self._pool_jobs():
             waited = now - self.state.pool[job.name]
-            if job.tasks == 1 or waited < PATIENCE_SECONDS:
-                continue
+            if waited < PATIENCE_SECONDS or job.tasks == 1:
+                # Older single tasks would wait still longer for the workers kept free.
+                return []
             workers = self._workers_to_keep_free(job)
             if workers and waited >= PATIENCE_SECONDS * (1 + self._busy_share(workers)):
                 return [job.name]
