Bound what requests keep; read an unchanged machine list once

Change: the platform's answers may be 16 MB; an unchanged list is not decoded again nor passed on; 32 MB of answers are kept at most; a daemon deletes its claims after an hour, 200 in a transaction; an owner's timer runs 4 times a second instead of 10.

--- a/src/jaypier/daemon/assembly.py
+++ b/src/jaypier/daemon/assembly.py
@@ -24,7 +24,7 @@
 from jaypier.operators.node import Node
 from jaypier.platform import MachineKind, Platform, open_platform
 from jaypier.requests.admission import Dispatcher
-from jaypier.requests.claims import ClaimTable
+from jaypier.requests.claims import ClaimTable, ClaimUnavailable
 from jaypier.requests.endpoints import EndpointBoard
 from jaypier.requests.executor import RequestExecutor
 from jaypier.requests.http import HttpForwarder
@@ -42,6 +42,9 @@
 PUMP_SECONDS = 0.1
 """Time between two checks of waiting requests against recovered endpoints."""
 
+SWEEP_SECONDS = 10.0
+"""Time between two deletions of old claims."""
+
 STORE_SECONDS = 2.0
 """Age up to which an answer of the store counts as contact with it."""
 
@@ -127,11 +130,12 @@
         )
         secret = settings.cluster_secret.encode()
         self.forwarder = HttpForwarder(self.state, self.clock, forward_proof(secret), self.metrics)
+        self.claims = ClaimTable(self.platform.table, settings.id, self.incarnation)
         self.requests = RequestService(
             settings.id,
             self.incarnation,
             self.executor,
-            ClaimTable(self.platform.table, settings.id, self.incarnation),
+            self.claims,
             self.forwarder,
             secret,
             self.clock,
@@ -223,6 +227,16 @@
             self.on_heartbeats()
             self.dispatcher.pump_all()
 
+    async def run_sweep(self) -> None:
+        """Delete old claims until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS * self.rng.uniform(0.5, 1.5))
+            try:
+                swept = await self.claims.sweep(self.clock.now())
+                self.metrics.count("requests.claims_swept", swept)
+            except ClaimUnavailable:
+                self.metrics.count("requests.sweeps_failed")
+
     async def run(self) -> None:
         """Run until a stop is requested, then stop gracefully."""
         settings = self.settings
@@ -243,7 +257,10 @@
             stack.callback(self.api.close)
             await stack.enter_async_context(self.membership)
             await stack.enter_async_context(self.scheduling)
-            loops = [asyncio.create_task(self.run_polls()), asyncio.create_task(self.run_pump())]
+            loops = [
+                asyncio.create_task(loop)
+                for loop in (self.run_polls(), self.run_pump(), self.run_sweep())
+            ]
             stack.push_async_callback(_cancel, loops)
             await stack.enter_async_context(self.server)
             log.info("daemon started", address=settings.caller_address)
--- a/src/jaypier/membership/service.py
+++ b/src/jaypier/membership/service.py
@@ -19,7 +19,7 @@
 from jaypier.membership.state import MembershipState
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.keeper import ConfigurationKeeper
-from jaypier.platform import MachineList, PlatformUnavailable
+from jaypier.platform import Machine, MachineList, PlatformUnavailable
 
 HEARTBEAT_SECONDS = 0.5
 """Time between two heartbeats to the same daemon, up to ``FULL_MESH`` daemons."""
@@ -109,10 +109,14 @@
 
     async def run_machine_list(self) -> None:
         """Read the platform's list until cancelled."""
+        known: list[Machine] | None = None
         while True:
             try:
-                self.state.update_machines(await self.machine_list.machines())
-                self.on_machines()
+                machines = await self.machine_list.machines()
+                if machines is not known:
+                    known = machines
+                    self.state.update_machines(machines)
+                    self.on_machines()
             except PlatformUnavailable:
                 self.metrics.count("machines.polls_failed")
             await asyncio.sleep(MACHINES_SECONDS * self.rng.uniform(0.8, 1.2))
--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -55,7 +55,7 @@
 
     @abstractmethod
     async def machines(self) -> list[Machine]:
-        """Return every machine that the platform lists now.
+        """Return every machine that the platform lists now; the same list while unchanged.
 
         :raises PlatformUnavailable: when there is no answer.
         """
--- a/src/jaypier/platform/http.py
+++ b/src/jaypier/platform/http.py
@@ -13,6 +13,9 @@
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
+MAX_ANSWER_BYTES = 16 << 20
+"""Largest answer of the platform; the list of 6,400 workers takes 1.5 MB."""
+
 
 @attrs.frozen
 class FailedCondition:
@@ -28,7 +31,7 @@
     """
 
     def __init__(self, address: Address, timeout: float) -> None:
-        self.pool = ConnectionPool(address)
+        self.pool = ConnectionPool(address, MAX_ANSWER_BYTES)
         self.timeout = timeout
 
     async def call(self, method: str, target: str, body: bytes = b"") -> HttpResponse:
@@ -93,14 +96,20 @@
 
 
 class HttpMachineList(MachineList):
-    """Machine list at ``/machines``."""
+    """Machine list at ``/machines``; an unchanged answer is not decoded again."""
 
     def __init__(self, caller: PlatformCaller) -> None:
         self.caller = caller
+        self.body = b""
+        self.decoded: list[Machine] = []
 
     async def machines(self) -> list[Machine]:
         """See :meth:`MachineList.machines`."""
-        return _decode(await self.caller.call("GET", "/machines"), list[Machine])
+        response = await self.caller.call("GET", "/machines")
+        if response.body != self.body:
+            self.decoded = _decode(response, list[Machine])
+            self.body = response.body
+        return self.decoded
 
 
 class HttpPlatform(Platform):
--- a/src/jaypier/requests/claims.py
+++ b/src/jaypier/requests/claims.py
@@ -1,5 +1,7 @@
 """Durable claims on request identities that callers choose themselves."""
 
+import itertools
+from collections import deque
 from enum import StrEnum
 
 import attrs
@@ -21,6 +23,12 @@
 MAX_STORED_BODY_BYTES = 16_384
 CLAIM_ATTEMPTS = 2
 
+CLAIM_RETENTION_SECONDS = 3600.0
+"""Time for which a claim and its outcome stay in the table."""
+
+MAX_SWEPT = 200
+"""Claims that are deleted in one transaction."""
+
 
 class ClaimUnavailable(RequestError):
     """The store did not answer, so no claim may be relied on."""
@@ -88,6 +96,17 @@
     version: int
 
 
+@attrs.frozen
+class RecordedClaim:
+    """A claim of this process whose outcome is known.
+
+    :param recorded_at: time of the outcome, in seconds.
+    """
+
+    key: str
+    recorded_at: float
+
+
 class ClaimTable:
     """Claims of one daemon in the table service.
 
@@ -99,6 +118,7 @@
         self.table = table
         self.daemon = daemon
         self.incarnation = incarnation
+        self.recorded: deque[RecordedClaim] = deque()
 
     async def claim(self, identity: str) -> Claim:
         """Claim an identity for this process, or learn who has it.
@@ -130,20 +150,45 @@
                 version = found.version
         raise ClaimUnavailable(str(last_error or f"claim on {identity!r} is contended"))
 
-    async def record(self, identity: str, claim: Claim, result: RequestResult) -> None:
+    async def record(self, identity: str, claim: Claim, result: RequestResult, now: float) -> None:
         """Record the outcome of a request that this process claimed.
 
+        :param now: present time, in seconds.
+
         :raises ClaimUnavailable: when the store does not answer; the claim then stays open.
         """
         state = ClaimState(result.outcome.value)
         record = attrs.evolve(claim.record, state=state, answer=_stored(result.response))
+        key = CLAIMS_PREFIX + identity
+        self.recorded.append(RecordedClaim(key, now))
         try:
-            await self._write(CLAIMS_PREFIX + identity, claim.version, record)
+            await self._write(key, claim.version, record)
         except ConditionFailed:
             return
         except PlatformUnavailable as error:
             raise ClaimUnavailable(str(error)) from error
 
+    async def sweep(self, now: float) -> int:
+        """Delete claims of this process that are older than their retention.
+
+        :param now: present time, in seconds.
+        :returns: the number of deleted claims.
+        :raises ClaimUnavailable: when the store does not answer; they are tried again.
+        """
+        due = [
+            each.key
+            for each in itertools.islice(self.recorded, MAX_SWEPT)
+            if now - each.recorded_at >= CLAIM_RETENTION_SECONDS
+        ]
+        if due:
+            try:
+                await self.table.transact(Transaction(deletes=due))
+            except PlatformUnavailable as error:
+                raise ClaimUnavailable(str(error)) from error
+        for _ in due:
+            self.recorded.popleft()
+        return len(due)
+
     async def find(self, identity: str) -> ClaimRecord | None:
         """Return the claim on an identity, ``None`` when there is none.
 
--- a/src/jaypier/requests/records.py
+++ b/src/jaypier/requests/records.py
@@ -13,12 +13,15 @@
 RETENTION_SECONDS = 600.0
 """Time for which outcomes are remembered and for which a ticket is valid."""
 
-MAX_RECORDS = 200_000
+MAX_RECORDS = 50_000
 """Records kept at most; further requests are refused until old ones end."""
 
 MAX_KEPT_BODY_BYTES = 16_384
 """Larger answers are remembered without their bodies."""
 
+MAX_KEPT_BYTES = 32 << 20
+"""Bytes of answers kept at most; answers beyond it are remembered without their bodies."""
+
 TICKET_PREFIX = "jpt1"
 MAC_CHARACTERS = 24
 
@@ -42,6 +45,7 @@
     def __init__(self) -> None:
         self.records: OrderedDict[str, RequestRecord] = OrderedDict()
         self.unrun: OrderedDict[str, float] = OrderedDict()
+        self.kept_bytes = 0
 
     def find(self, identity: str, now: float) -> RequestRecord | None:
         """Return the record of an identity, ``None`` when there is none."""
@@ -69,7 +73,11 @@
         if result.outcome is Outcome.NOT_RUN:
             del self.records[identity]
             self.mark_unrun(identity, record.created_at)
-        record.result = _without_large_body(result)
+        size = _body_size(result)
+        if size > MAX_KEPT_BODY_BYTES or self.kept_bytes + size > MAX_KEPT_BYTES:
+            result = _without_body(result)
+        self.kept_bytes += _body_size(result)
+        record.result = result
         record.finished.set()
 
     def drop(self, identity: str, result: RequestResult) -> None:
@@ -95,13 +103,15 @@
             identity, record = next(iter(self.records.items()))
             if now - record.created_at < RETENTION_SECONDS or record.result is None:
                 return
+            self.kept_bytes -= _body_size(record.result)
             del self.records[identity]
 
 
-def _without_large_body(result: RequestResult) -> RequestResult:
-    response = result.response
-    if response is None or len(response.body) <= MAX_KEPT_BODY_BYTES:
-        return result
+def _body_size(result: RequestResult) -> int:
+    return 0 if result.response is None else len(result.response.body)
+
+
+def _without_body(result: RequestResult) -> RequestResult:
     note = "answered; the answer was too large to be kept for a second request"
     return attrs.evolve(result, response=None, reason=note)
 
--- a/src/jaypier/requests/service.py
+++ b/src/jaypier/requests/service.py
@@ -209,7 +209,7 @@
 
     async def _record_claim(self, identity: str, claim: Claim, result: RequestResult) -> None:
         try:
-            await self.claims.record(identity, claim, result)
+            await self.claims.record(identity, claim, result, self.clock.now())
         except ClaimUnavailable:
             self.metrics.count("requests.outcomes_unrecorded")
 
--- a/src/jaypier/requests/tests/test_service.py
+++ b/src/jaypier/requests/tests/test_service.py
@@ -8,8 +8,10 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
 from jaypier.platform import MachineState
+from jaypier.requests.claims import CLAIM_RETENTION_SECONDS, ClaimUnavailable
 from jaypier.requests.endpoints import SLOTS
 from jaypier.requests.model import Outcome
+from jaypier.requests.records import MAX_KEPT_BYTES, RETENTION_SECONDS
 from jaypier.requests.tests.builders import SERVICE, Scene
 from standins.virtual_time import LoopClock, run_virtually
 
@@ -172,6 +174,35 @@
         self.assertThat((result.outcome, scene.runs["a"]), Equals((Outcome.ANSWERED, 1)))
 
 
+class TestRetention(testtools.TestCase):
+    @in_scene()
+    async def test_old_claims_are_deleted_once_the_store_answers(self, scene):
+        service = scene.services["entry-0"]
+        for index in range(3):
+            await service.serve(scene.request(f"a{index}"))
+        self.assertThat(await service.claims.sweep(scene.clock.now()), Equals(0))
+        await asyncio.sleep(CLAIM_RETENTION_SECONDS)
+        scene.platform.access.is_down = True
+        with testtools.ExpectedException(ClaimUnavailable):
+            await service.claims.sweep(scene.clock.now())
+        scene.platform.access.is_down = False
+        self.assertThat(await service.claims.sweep(scene.clock.now()), Equals(3))
+        self.assertThat(scene.platform.shared.rows, Equals({}))
+
+    @in_scene()
+    async def test_kept_answers_are_bounded(self, scene):
+        service = scene.services["entry-0"]
+        for _ in range(MAX_KEPT_BYTES // 16_000 + 100):
+            key = service.mint("small")
+            request = scene.request(key)
+            request.http.body = b"x" * 16_000
+            await service.serve(request)
+        self.assertThat(service.records.kept_bytes, LessThan(MAX_KEPT_BYTES + 1))
+        await asyncio.sleep(RETENTION_SECONDS)
+        service.records.find("nothing", scene.clock.now())
+        self.assertThat(service.records.kept_bytes, Equals(0))
+
+
 class TestEndpoints(testtools.TestCase):
     @in_scene()
     async def test_leaving_endpoints_get_no_new_work(self, scene):
--- a/src/jaypier/scheduling/lifecycle.py
+++ b/src/jaypier/scheduling/lifecycle.py
@@ -45,7 +45,10 @@
     def lose_silent_workers(self, now: float) -> None:
         """Give up workers whose lease has run out unrenewed; their tasks have stopped."""
         state = self.state
-        for worker in state.workers.values():
+        for worker in list(state.workers.values()):
+            if not (worker.is_listed or worker.is_reachable or worker.assigned):
+                state.drop_worker(worker.name)
+                continue
             is_silent = now - worker.heard_at > state.lease_seconds and now > worker.lease_end
             if worker.is_reachable and is_silent:
                 worker.is_reachable = False
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -17,7 +17,7 @@
 from jaypier.workers.protocol import ControlRequest, HttpWorkerLink, WorkerLink
 from jaypier.workers.session import EpochLost, SessionMessage, WorkerSession, WorkerSilent
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.25
 """Longest time between two passes over timers."""
 
 LEASE_SECONDS = 8.0
