--- a/measurements/replay.py
+++ b/measurements/replay.py
@@ -19,8 +19,8 @@
     Team,
 )
 from jaypier.platform import Machine, MachineKind
-from jaypier.scheduling.model import WorkerReport
 from jaypier.scheduling.scheduler import DataCentreScheduler
+from jaypier.workers.model import WorkerReport
 from jaypier.workers.protocol import ControlRequest
 from standins.ledger import FakeLedger
 from standins.worker import SimulatedWorker
--- a/measurements/scheduling.py
+++ b/measurements/scheduling.py
@@ -14,8 +14,8 @@
 from jaypier.notes.configuration import Configuration, ConfigurationEntry, apply_entry
 from jaypier.notes.model import Adjacency, Entities, Job, ReleaseNote, Team
 from jaypier.platform import Machine, MachineKind
-from jaypier.scheduling.model import TaskReport, TaskState, WorkerReport
 from jaypier.scheduling.scheduler import DataCentreScheduler
+from jaypier.workers.model import TaskReport, TaskState, WorkerReport
 from measurements.figures import print_figure
 from measurements.replay import (
     BARIDI,
--- a/src/jaypier/scheduling/commands.py
+++ b/src/jaypier/scheduling/commands.py
@@ -3,16 +3,9 @@
 They are level-triggered: a lost command or report is repaired by the next exchange.
 """
 
-from jaypier.scheduling.model import (
-    CommandKind,
-    GangPhase,
-    StopReason,
-    TaskCommand,
-    TaskReport,
-    TaskState,
-    Worker,
-)
+from jaypier.scheduling.model import GangPhase, StopReason, Worker
 from jaypier.scheduling.state import DataCentreState
+from jaypier.workers.model import CommandKind, TaskCommand, TaskReport, TaskState
 
 START_VALID_SECONDS = 1.0
 """Time for which a START may be obeyed after it was sent."""
--- a/src/jaypier/scheduling/lifecycle.py
+++ b/src/jaypier/scheduling/lifecycle.py
@@ -2,15 +2,9 @@
 
 from jaypier.notes.configuration import JobState
 from jaypier.scheduling.health import is_impossible
-from jaypier.scheduling.model import (
-    Gang,
-    GangPhase,
-    StopReason,
-    TaskIdentity,
-    TaskState,
-    Worker,
-)
+from jaypier.scheduling.model import Gang, GangPhase, StopReason, Worker
 from jaypier.scheduling.state import DataCentreState
+from jaypier.workers.model import TaskIdentity, TaskState
 
 HOLD_SECONDS = 5.0
 """Time in which all tasks of a gang must be confirmed as held."""
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -12,8 +12,9 @@
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.errors import LedgerError
 from jaypier.platform import Machine
-from jaypier.scheduling.model import Decisions, GangPhase, WorkerReport
+from jaypier.scheduling.model import Decisions, GangPhase
 from jaypier.scheduling.scheduler import DataCentreScheduler
+from jaypier.workers.model import WorkerReport
 from jaypier.workers.protocol import ControlRequest, HttpWorkerLink, WorkerLink
 from jaypier.workers.session import EpochLost, SessionMessage, WorkerSession, WorkerSilent
 
--- a/src/jaypier/scheduling/scheduler.py
+++ b/src/jaypier/scheduling/scheduler.py
@@ -10,10 +10,11 @@
 from jaypier.platform import Machine, MachineState
 from jaypier.scheduling.commands import commands_for
 from jaypier.scheduling.lifecycle import Lifecycle
-from jaypier.scheduling.model import Decisions, GangPhase, TaskCommand, Worker, WorkerReport
+from jaypier.scheduling.model import Decisions, GangPhase, Worker
 from jaypier.scheduling.placing import Placer
 from jaypier.scheduling.state import DataCentreState
 from jaypier.scheduling.takeover import try_rebuild
+from jaypier.workers.model import TaskCommand, WorkerReport
 
 SILENCE_CHECK_SECONDS = 0.25
 """Time between two checks for workers whose lease has run out."""
--- a/src/jaypier/scheduling/state.py
+++ b/src/jaypier/scheduling/state.py
@@ -4,13 +4,8 @@
 from jaypier.notes.configuration import Configuration, JobOutcome, JobState, Pin
 from jaypier.scheduling.capacity import Capacity
 from jaypier.scheduling.health import HealthTracker
-from jaypier.scheduling.model import (
-    Gang,
-    GangPhase,
-    StopReason,
-    TaskIdentity,
-    Worker,
-)
+from jaypier.scheduling.model import Gang, GangPhase, StopReason, Worker
+from jaypier.workers.model import TaskIdentity
 
 FIRST_BACKOFF_SECONDS = 0.5
 """Delay before a gang whose start failed is tried again; it doubles each time."""
--- a/src/jaypier/scheduling/takeover.py
+++ b/src/jaypier/scheduling/takeover.py
@@ -2,16 +2,10 @@
 
 from jaypier.notes.configuration import JobState
 from jaypier.scheduling.lifecycle import Lifecycle
-from jaypier.scheduling.model import (
-    Gang,
-    GangPhase,
-    StopReason,
-    TaskReport,
-    TaskState,
-    Worker,
-)
+from jaypier.scheduling.model import Gang, GangPhase, StopReason, Worker
 from jaypier.scheduling.reservations import is_home
 from jaypier.scheduling.state import DataCentreState
+from jaypier.workers.model import TaskReport, TaskState
 
 FoundTasks = list[tuple[Worker, TaskReport]]
 
--- a/src/jaypier/scheduling/tests/builders.py
+++ b/src/jaypier/scheduling/tests/builders.py
@@ -7,9 +7,10 @@
 from jaypier.notes.model import Entities, GuaranteedShape, Job, Team
 from jaypier.platform import Machine, MachineKind
 from jaypier.scheduling.impossible import ImpossibleJobs
-from jaypier.scheduling.model import Decisions, GangPhase, TaskState, WorkerReport
+from jaypier.scheduling.model import Decisions, GangPhase
 from jaypier.scheduling.scheduler import DataCentreScheduler
 from jaypier.workers.errors import EpochRefused
+from jaypier.workers.model import TaskState, WorkerReport
 from jaypier.workers.protocol import ControlRequest
 from standins.ledger import FakeLedger
 from standins.worker import SimulatedWorker
--- a/src/jaypier/scheduling/tests/test_stateful.py
+++ b/src/jaypier/scheduling/tests/test_stateful.py
@@ -17,7 +17,6 @@
 from jaypier.notes.configuration import JobState
 from jaypier.notes.keeper import CURRENT_SECONDS
 from jaypier.notes.model import Adjacency, DataCentre, Entities, GuaranteedShape, Job, Team
-from jaypier.scheduling.model import TaskState, WorkerReport
 from jaypier.scheduling.scheduler import DataCentreScheduler
 from jaypier.scheduling.service import FENCE_SECONDS
 from jaypier.scheduling.tests.builders import (
@@ -27,6 +26,7 @@
     worker_machines,
 )
 from jaypier.workers.errors import EpochRefused
+from jaypier.workers.model import TaskState, WorkerReport
 from jaypier.workers.protocol import ControlRequest
 from standins.checks import DEPARTURE_SECONDS, gang_faults
 from standins.ledger import FakeLedger
--- a/src/jaypier/workers/protocol.py
+++ b/src/jaypier/workers/protocol.py
@@ -6,11 +6,11 @@
 
 from jaypier.core.address import Address
 from jaypier.core.codec import DecodeError, from_json, to_json
-from jaypier.scheduling.model import TaskCommand, TaskReport
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest
 from jaypier.workers.errors import EpochRefused, WorkerUnreachable
+from jaypier.workers.model import TaskCommand, TaskReport
 
 CONTROL_TIMEOUT = 2.0
 """Seconds to wait for a worker's answer."""
--- a/src/jaypier/workers/session.py
+++ b/src/jaypier/workers/session.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from jaypier.scheduling.model import WorkerReport
 from jaypier.workers.errors import EpochRefused, WorkerUnreachable
+from jaypier.workers.model import WorkerReport
 from jaypier.workers.protocol import ControlRequest, WorkerLink
 
 MIN_EXCHANGE_GAP = 0.02
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -13,16 +13,10 @@
 
 from jaypier.core.address import Address
 from jaypier.core.codec import from_json, to_json
-from jaypier.scheduling.model import (
-    CommandKind,
-    TaskCommand,
-    TaskIdentity,
-    TaskReport,
-    TaskState,
-)
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import HttpServer
 from jaypier.workers.errors import EpochRefused
+from jaypier.workers.model import CommandKind, TaskCommand, TaskIdentity, TaskReport, TaskState
 from jaypier.workers.protocol import ControlReply, ControlRequest
 from standins.serving import print_fault, serve_until_terminated
 
