--- a/src/jaypier/membership/service.py
+++ b/src/jaypier/membership/service.py
@@ -16,17 +16,11 @@
     Heartbeat,
     Received,
 )
-from jaypier.membership.state import MembershipState
+from jaypier.membership.state import FANOUT, HEARTBEAT_SECONDS, MembershipState, suspicion
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.keeper import ConfigurationKeeper
 from jaypier.platform import Machine, MachineList, PlatformUnavailable
 
-HEARTBEAT_SECONDS = 0.5
-"""Time between two heartbeats to the same daemon, up to ``FULL_MESH`` daemons."""
-
-FULL_MESH = 16
-"""Daemons up to which everybody sends to everybody; above it, to as many in turn."""
-
 MACHINES_SECONDS = 1.0
 """Time between two readings of the platform's list."""
 
@@ -67,6 +61,7 @@
         self.rng = rng
         self.links: PeerLinks | None = None
         self.known_alive: set[str] = set()
+        self.turn = rng.randrange(1 << 16)
         self.tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "MembershipService":
@@ -85,16 +80,19 @@
         """Send heartbeats until cancelled."""
         while True:
             self.links.connect(self.state.peer_addresses(self.seeds))
-            self.links.broadcast(self.build_heartbeat(), self.targets())
+            self.state.suspect_seconds = suspicion(len(self.links.senders))
+            self.links.broadcast(self.build_heartbeat(), self.next_targets())
             self.report_changes()
             await asyncio.sleep(HEARTBEAT_SECONDS * self.rng.uniform(0.9, 1.1))
 
-    def targets(self) -> list[str]:
-        """Return the addresses to send to now: all, or a random part of many."""
-        addresses = list(self.links.senders)
-        if len(addresses) <= FULL_MESH:
+    def next_targets(self) -> list[str]:
+        """Return the addresses of this round, all in turn when there are many."""
+        addresses = sorted(self.links.senders)
+        if len(addresses) <= FANOUT:
             return addresses
-        return self.rng.sample(addresses, FULL_MESH)
+        start = self.turn % len(addresses)
+        self.turn += FANOUT
+        return (addresses + addresses)[start : start + FANOUT]
 
     def report_changes(self) -> None:
         """Log daemons that have come or gone since the last call."""
@@ -159,10 +157,11 @@
         applied = self.keeper.offer(entries)
         if applied:
             self.keeper.is_loaded = True
-            if len(self.links.senders) > FULL_MESH:
+            if len(self.links.senders) > FANOUT:
                 self.announce(applied)
 
     def announce(self, entries: list[ConfigurationEntry]) -> None:
         """Send newly committed entries to the other daemons."""
         offer = ConfigurationOffer([to_json(entry) for entry in entries])
-        self.links.broadcast(offer, self.targets())
+        addresses = sorted(self.links.senders)
+        self.links.broadcast(offer, self.rng.sample(addresses, min(FANOUT, len(addresses))))
--- a/src/jaypier/membership/state.py
+++ b/src/jaypier/membership/state.py
@@ -1,17 +1,34 @@
 """The view that one daemon has of the others; no I/O."""
 
+import math
+
 import attrs
 
 from jaypier.membership.messages import Heartbeat, Received
 from jaypier.platform import Machine, MachineKind, MachineState
 
-SUSPECT_SECONDS = 3.0
-"""Silence after which a daemon no longer counts as alive."""
+HEARTBEAT_SECONDS = 0.5
+"""Time between two rounds of heartbeats."""
+
+FANOUT = 8
+"""Daemons that each round goes to; among more, they are taken in turn."""
+
+MISSED_HEARTBEATS = 6
+"""Heartbeats that a daemon misses before it no longer counts as alive."""
 
 FORGET_SECONDS = 60.0
 """Silence after which a daemon that is no longer listed is forgotten."""
 
 
+def suspicion(daemons: int) -> float:
+    """Return the silence in seconds after which a daemon counts as dead.
+
+    :param daemons: number of other daemons; heartbeats to more than ``FANOUT`` take turns.
+    """
+    rounds = max(1, math.ceil(daemons / FANOUT))
+    return HEARTBEAT_SECONDS * MISSED_HEARTBEATS * rounds
+
+
 @attrs.define
 class Peer:
     """What is known of another daemon.
@@ -32,13 +49,15 @@
 class MembershipState:
     """Daemons known from heartbeats, and machines known from the platform's list.
 
-    A daemon is alive when it was heard within ``SUSPECT_SECONDS``. The list only tells where
+    A daemon is alive when it was heard within ``suspect_seconds``. The list only tells where
     to send heartbeats: it lags, so neither presence nor absence in it decides.
 
     :param own_id: identity of this daemon.
+    :param suspect_seconds: silence after which a daemon no longer counts as alive.
     """
 
     own_id: str
+    suspect_seconds: float = HEARTBEAT_SECONDS * MISSED_HEARTBEATS
     peers: dict[str, Peer] = attrs.field(factory=dict)
     machines: dict[str, Machine] = attrs.field(factory=dict)
 
@@ -77,8 +96,8 @@
         }
 
     def alive(self, now: float) -> list[Peer]:
-        """Return the other daemons heard within ``SUSPECT_SECONDS``."""
-        return [peer for peer in self.peers.values() if now - peer.heard_at < SUSPECT_SECONDS]
+        """Return the other daemons heard within ``suspect_seconds``."""
+        return [peer for peer in self.peers.values() if now - peer.heard_at < self.suspect_seconds]
 
     def staying(self, now: float) -> list[str]:
         """Return the identities of daemons that are alive and not leaving, without ours."""
