--- a/measurements/scheduling.py
+++ b/measurements/scheduling.py
@@ -20,6 +20,7 @@
 from measurements.replay import (
     BARIDI,
     KILIMANJARO,
+    STEP_SECONDS,
     Arrival,
     FirstFitPolicy,
     JaypierPolicy,
@@ -80,7 +81,9 @@
         print_figure(
             "fragmentation.largest_block", statistics.mean(blocks[name]), "share", **context
         )
-        print_figure("fragmentation.large_waits", statistics.mean(waits[name]), "s", **context)
+        print_figure(
+            "fragmentation.large_waits", statistics.mean(waits[name]) * STEP_SECONDS, "s", **context
+        )
         print_figure("departure.work", statistics.mean(departures[name]), "share", **context)
 
 
