Requests: a planned stop leaves the outcomes of tickets behind

Cause: after a planned stop, tickets of that daemon were unknown, also those never used.

Change: a daemon that has drained writes what it remembers to the object store; others read it when they meet an identity of a process that is gone. Also: leases are observed once a second and waiting requests checked 4 times a second, for less idle work; the stand-in takes objects of 16 MB.

--- a/src/jaypier/daemon/assembly.py
+++ b/src/jaypier/daemon/assembly.py
@@ -27,6 +27,7 @@
 from jaypier.requests.claims import ClaimTable, ClaimUnavailable
 from jaypier.requests.endpoints import EndpointBoard
 from jaypier.requests.executor import RequestExecutor
+from jaypier.requests.handover import Handover, HandoverUnavailable
 from jaypier.requests.http import HttpForwarder
 from jaypier.requests.service import RequestService
 from jaypier.scheduling.ownership import LeaseTable
@@ -39,7 +40,7 @@
 POLL_SECONDS = 1.0
 """Time between two readings of the head in any other daemon."""
 
-PUMP_SECONDS = 0.1
+PUMP_SECONDS = 0.25
 """Time between two checks of waiting requests against recovered endpoints."""
 
 SWEEP_SECONDS = 10.0
@@ -137,6 +138,7 @@
             self.executor,
             self.claims,
             self.forwarder,
+            Handover(self.platform.objects),
             secret,
             self.clock,
             self.metrics,
@@ -277,8 +279,17 @@
         await asyncio.sleep(stop.notice_seconds)
         cut = await self.server.drain(stop.drain_seconds)
         unfinished = await self.requests.drain(stop.drain_seconds)
+        if not cut and not unfinished:
+            await self.leave_records()
         log.info("planned stop ended", cut_requests=cut, unfinished_requests=unfinished)
 
+    async def leave_records(self) -> None:
+        """Leave the outcomes of requests behind for the other daemons."""
+        try:
+            await self.requests.leave()
+        except HandoverUnavailable:
+            self.metrics.count("requests.handovers_failed")
+
 
 async def _cancel(tasks: list[asyncio.Task]) -> None:
     for task in tasks:
--- a/src/jaypier/requests/claims.py
+++ b/src/jaypier/requests/claims.py
@@ -55,6 +55,13 @@
     headers: list[list[str]]
     body: str
 
+    def response(self) -> HttpResponse:
+        """Return the answer as it was received."""
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in self.headers
+        ]
+        return HttpResponse(self.status, headers, self.body.encode("latin-1"))
+
 
 @attrs.frozen
 class ClaimRecord:
@@ -73,12 +80,7 @@
     def result(self) -> RequestResult:
         """Return the outcome that a finished claim records."""
         if self.state is ClaimState.ANSWERED and self.answer is not None:
-            headers = [
-                (name.encode("latin-1"), value.encode("latin-1"))
-                for name, value in self.answer.headers
-            ]
-            body = self.answer.body.encode("latin-1")
-            return RequestResult(Outcome.ANSWERED, HttpResponse(self.answer.status, headers, body))
+            return RequestResult(Outcome.ANSWERED, self.answer.response())
         return RequestResult(Outcome(self.state.value), reason="recorded earlier")
 
 
@@ -158,7 +160,7 @@
         :raises ClaimUnavailable: when the store does not answer; the claim then stays open.
         """
         state = ClaimState(result.outcome.value)
-        record = attrs.evolve(claim.record, state=state, answer=_stored(result.response))
+        record = attrs.evolve(claim.record, state=state, answer=stored_answer(result.response))
         key = CLAIMS_PREFIX + identity
         self.recorded.append(RecordedClaim(key, now))
         try:
@@ -212,7 +214,8 @@
         )
 
 
-def _stored(response: HttpResponse | None) -> StoredAnswer | None:
+def stored_answer(response: HttpResponse | None) -> StoredAnswer | None:
+    """Return an answer as it is kept, ``None`` when there is none or it is too large."""
     if response is None or len(response.body) > MAX_STORED_BODY_BYTES:
         return None
     headers = [
--- a/src/jaypier/requests/service.py
+++ b/src/jaypier/requests/service.py
@@ -9,6 +9,7 @@
 from jaypier.core.metrics import Metrics
 from jaypier.requests.claims import Claim, ClaimRecord, ClaimState, ClaimTable, ClaimUnavailable
 from jaypier.requests.executor import RequestExecutor
+from jaypier.requests.handover import Handover
 from jaypier.requests.model import CallerRequest, Outcome, RequestResult, not_run, unknown
 from jaypier.requests.records import (
     RETENTION_SECONDS,
@@ -49,8 +50,9 @@
     """Serves requests in one daemon.
 
     An identity is run by one process only: by the one that minted it when it is a ticket, by
-    the one that claimed it in the table service otherwise. That process remembers the outcome.
-    When it is gone, nobody can know, and the outcome is unknown.
+    the one that claimed it in the table service otherwise. That process remembers the outcome,
+    and leaves it behind on a planned stop. When it was killed, nobody can know, and the outcome
+    is unknown.
 
     :param secret: shared secret of the daemons, signs tickets.
     """
@@ -62,6 +64,7 @@
         executor: RequestExecutor,
         claims: ClaimTable,
         forwarder: Forwarder,
+        handover: Handover,
         secret: bytes,
         clock: Clock,
         metrics: Metrics,
@@ -71,6 +74,7 @@
         self.executor = executor
         self.claims = claims
         self.forwarder = forwarder
+        self.handover = handover
         self.secret = secret
         self.clock = clock
         self.metrics = metrics
@@ -118,7 +122,17 @@
             if result is not None:
                 self.metrics.count("requests.forwarded")
                 return result
-        return unknown(f"daemon {daemon!r}, which may have run it, is gone")
+        return await self._left_outcome(daemon, incarnation, request.team, request.key)
+
+    async def _left_outcome(
+        self, daemon: str, incarnation: int, team: str, key: str
+    ) -> RequestResult:
+        """Return an outcome that a stopped process has left behind."""
+        left = await self.handover.find(daemon, incarnation, self.clock.now())
+        if left is None:
+            return unknown(f"daemon {daemon!r}, which may have run it, is gone")
+        ticket = parse_ticket(key, team, self.secret)
+        return left.result(f"{team}/{key}", None if ticket is None else ticket.minted_at)
 
     # Tickets
 
@@ -247,7 +261,7 @@
             result = await self.forwarder.ask(daemon, incarnation, team, key)
             if result is not None:
                 return result
-        return unknown(f"daemon {daemon!r}, which may have run it, is gone")
+        return await self._left_outcome(daemon, incarnation, team, key)
 
     async def drain(self, timeout: float) -> int:
         """Wait for requests whose callers have left.
@@ -258,5 +272,13 @@
             await asyncio.wait(set(self.background), timeout=timeout)
         return len(self.background)
 
+    async def leave(self) -> None:
+        """Leave behind what is remembered, once nothing runs and nothing more will.
+
+        :raises HandoverUnavailable: when the object store does not answer.
+        """
+        records = self.records.records
+        await self.handover.leave(self.own_id, self.incarnation, records, self.clock.now())
+
 
 __all__ = ["Forwarder", "Outcome", "RequestService"]
--- a/src/jaypier/requests/tests/builders.py
+++ b/src/jaypier/requests/tests/builders.py
@@ -13,6 +13,7 @@
 from jaypier.requests.claims import ClaimTable
 from jaypier.requests.endpoints import EndpointBoard
 from jaypier.requests.executor import RequestExecutor
+from jaypier.requests.handover import Handover
 from jaypier.requests.model import CallerRequest, RequestResult, unknown
 from jaypier.requests.service import Forwarder, RequestService
 from jaypier.requests.upstream import AttemptFailed, EndpointAnswer, EndpointLink
@@ -139,6 +140,7 @@
             executor,
             ClaimTable(self.platform.table, name, self.incarnation),
             FakeForwarder(self.processes),
+            Handover(self.platform.objects),
             SECRET,
             self.clock,
             metrics,
@@ -154,6 +156,13 @@
         for task in list(service.background):
             task.cancel()
 
+    async def stop(self, name: str) -> None:
+        """Stop a daemon as planned."""
+        service = self.services[name]
+        await service.drain(60.0)
+        await service.leave()
+        self.kill(name)
+
     def request(
         self, key: str = "", repeatable: bool = False, team: str = "small", timeout: float = 10.0
     ) -> CallerRequest:
--- a/src/jaypier/requests/tests/test_service.py
+++ b/src/jaypier/requests/tests/test_service.py
@@ -10,11 +10,14 @@
 from jaypier.platform import MachineState
 from jaypier.requests.claims import CLAIM_RETENTION_SECONDS, ClaimUnavailable
 from jaypier.requests.endpoints import SLOTS
+from jaypier.requests.handover import HandoverUnavailable
 from jaypier.requests.model import Outcome
 from jaypier.requests.records import MAX_KEPT_BYTES, RETENTION_SECONDS
 from jaypier.requests.tests.builders import SERVICE, Scene
 from standins.virtual_time import LoopClock, run_virtually
 
+ANSWERED = Outcome.ANSWERED
+
 
 def in_scene(**options):
     """Run a test's coroutine with a scene in virtual time."""
@@ -139,6 +142,41 @@
         result = await scene.services["entry-1"].serve(scene.request(ticket))
         self.assertThat((result.outcome, scene.runs[ticket]), Equals((Outcome.UNKNOWN, 0)))
 
+    @in_scene(daemons=2)
+    async def test_tickets_of_a_stopped_daemon_keep_their_outcomes(self, scene):
+        first, second = scene.services.values()
+        used, unused = first.mint("small"), first.mint("small")
+        await first.serve(scene.request(used))
+        await scene.stop("entry-0")
+        again = await second.serve(scene.request(used))
+        refused = await second.serve(scene.request(unused))
+        self.assertThat((again.outcome, again.response.body), Equals((ANSWERED, used.encode())))
+        self.assertThat(refused.outcome, Equals(Outcome.NOT_RUN))
+        self.assertThat((await second.outcome("small", used)).outcome, Equals(ANSWERED))
+        self.assertThat((scene.runs[used], scene.runs[unused]), Equals((1, 0)))
+
+    @in_scene(daemons=2)
+    async def test_ticket_that_a_stopped_daemon_had_forgotten_is_unknown(self, scene):
+        first, second = scene.services.values()
+        ticket = first.mint("small")
+        await first.serve(scene.request(ticket))
+        await asyncio.sleep(RETENTION_SECONDS + 1)
+        await first.serve(scene.request(first.mint("small")))
+        await scene.stop("entry-0")
+        result = await second.serve(scene.request(ticket))
+        self.assertThat((result.outcome, scene.runs[ticket]), Equals((Outcome.UNKNOWN, 1)))
+
+    @in_scene(daemons=2)
+    async def test_stop_without_the_object_store_leaves_unknown(self, scene):
+        ticket = scene.services["entry-0"].mint("small")
+        scene.platform.access.is_down = True
+        with testtools.ExpectedException(HandoverUnavailable):
+            await scene.stop("entry-0")
+        scene.kill("entry-0")
+        scene.platform.access.is_down = False
+        result = await scene.services["entry-1"].serve(scene.request(ticket))
+        self.assertThat(result.outcome, Equals(Outcome.UNKNOWN))
+
     @in_scene()
     async def test_ticket_of_another_team_is_only_a_key(self, scene):
         ticket = scene.services["entry-0"].mint("large")
--- a/src/jaypier/requests/tests/test_stateful.py
+++ b/src/jaypier/requests/tests/test_stateful.py
@@ -101,6 +101,14 @@
         self.pass_time(0.001)
         self.scene.start(daemon)
 
+    @rule(daemon=daemon_names)
+    def stop_daemon(self, daemon):
+        """Stop as planned when nothing is in flight there any more."""
+        self.pass_time(70.0)
+        if not self.scene.platform.access.is_down:
+            self.loop.run_until_complete(self.scene.stop(daemon))
+            self.scene.start(daemon)
+
     @rule(
         endpoint=endpoint_names,
         mode=st.sampled_from(["ok", "ok", "refuse", "unreachable", "break", "hang"]),
--- a/src/jaypier/scheduling/service.py
+++ b/src/jaypier/scheduling/service.py
@@ -175,7 +175,7 @@
                     await self.take_over_lapsed()
             except PlatformUnavailable:
                 self.metrics.count("ownership.polls_failed")
-            await asyncio.sleep(OBSERVE_SECONDS * self.rng.uniform(0.3, 0.7))
+            await asyncio.sleep(OBSERVE_SECONDS * self.rng.uniform(0.7, 1.0))
 
     async def take_over_lapsed(self) -> None:
         """Take over every lease whose holder is silent, if it is this daemon's turn."""
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -119,8 +119,8 @@
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
             self.body_size += len(event.data)
-            if self.body_size > MAX_BODY_BYTES:
-                self.refuse(413, f"body exceeds {MAX_BODY_BYTES} bytes")
+            if self.body_size > self.server.max_body:
+                self.refuse(413, f"body exceeds {self.server.max_body} bytes")
                 return
             self.body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -192,6 +192,7 @@
 
     connection_class = ServerConnection
     max_connections = MAX_CONNECTIONS
+    max_body = MAX_BODY_BYTES
 
     def __init__(
         self,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -45,6 +45,12 @@
     refused: int = 0
 
 
+class PlatformServer(HttpServer):
+    """Serves the stand-in; objects may be large."""
+
+    max_body = 16 << 20
+
+
 class PlatformStandIn:
     """State and routes of the stand-in."""
 
@@ -134,7 +140,7 @@
     parser.add_argument("--address", required=True)
     address = Address.parse(parser.parse_args().address)
     standin = PlatformStandIn()
-    server = HttpServer(address, standin.handle, print_fault)
+    server = PlatformServer(address, standin.handle, print_fault)
     asyncio.run(serve_until_terminated([server]))
 
 
