Faults of lasting tasks are never lost: an owner gives its data centre up, a daemon stops

Cause, found while reading: a task that ended by an exception was noticed by nobody. An owner whose scheduler had failed would have kept renewing its lease; a data centre whose last worker had gone was such a case (a division by zero among no workers).

Ruled out: catching everything in each loop, which hides the state it leaves.

Change: supervise() runs every task that is to last. An owner that fails is dropped, so its lease runs out and another daemon takes over; any other failure stops the daemon gracefully with exit code 4.

--- a/src/jaypier/daemon/assembly.py
+++ b/src/jaypier/daemon/assembly.py
@@ -10,6 +10,7 @@
 from jaypier.core.address import Address
 from jaypier.core.clock import Clock, MonotonicClock
 from jaypier.core.metrics import Metrics
+from jaypier.core.supervision import supervise
 from jaypier.daemon.settings import Settings
 from jaypier.membership.links import PeerLinks
 from jaypier.membership.messages import Heartbeat
@@ -73,6 +74,7 @@
             settings.platform.timeout_seconds,
         )
         self.stop_requested = asyncio.Event()
+        self.has_failed = False
         self._build_control()
         self._build_requests()
         self._build_interface()
@@ -94,6 +96,7 @@
             self.clock,
             self.metrics,
             self.rng,
+            self.on_task_failure,
         )
         self.notes = NoteService(
             self.ledger, self.keeper, self.membership.announce, self.metrics, self.rng
@@ -109,6 +112,7 @@
             self.clock,
             self.metrics,
             self.rng,
+            self.on_task_failure,
         )
 
     def _build_requests(self) -> None:
@@ -210,6 +214,13 @@
         self.metrics.count("http.handler_errors")
         log.error("request handler failed", exc_info=error)
 
+    def on_task_failure(self, name: str, error: BaseException) -> None:
+        """Stop after a fault in a task that is to last: a new process starts afresh."""
+        self.metrics.count("daemon.faults")
+        log.error("task failed; the daemon stops", task=name, exc_info=error)
+        self.has_failed = True
+        self.stop_requested.set()
+
     # Running
 
     async def run_polls(self) -> None:
@@ -260,7 +271,7 @@
             await stack.enter_async_context(self.membership)
             await stack.enter_async_context(self.scheduling)
             loops = [
-                asyncio.create_task(loop)
+                supervise(loop, loop.__name__, self.on_task_failure)
                 for loop in (self.run_polls(), self.run_pump(), self.run_sweep())
             ]
             stack.push_async_callback(_cancel, loops)
--- a/src/jaypier/daemon/main.py
+++ b/src/jaypier/daemon/main.py
@@ -15,6 +15,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
+EXIT_FAULT = 4
 
 app = typer.Typer(add_completion=False)
 
@@ -30,7 +31,8 @@
 ) -> None:
     """Run one jaypier daemon until SIGTERM or SIGINT, then stop gracefully.
 
-    Exit codes: 0 stopped as planned, 2 wrong settings or usage, 3 cannot start.
+    Exit codes: 0 stopped as planned, 2 wrong settings or usage, 3 cannot start, 4 stopped after
+    a fault.
     """
     path = check_settings or settings
     if path is None:
@@ -42,10 +44,12 @@
         return
     configure_logs(loaded.log, loaded.id)
     try:
-        asyncio.run(_run(loaded))
+        ended_as_planned = asyncio.run(_run(loaded))
     except OSError as error:
         structlog.get_logger().error("daemon cannot start", error=str(error))
         raise typer.Exit(EXIT_START) from error
+    if not ended_as_planned:
+        raise typer.Exit(EXIT_FAULT)
 
 
 def _load(path: Path) -> Settings:
@@ -57,12 +61,14 @@
         raise typer.Exit(EXIT_SETTINGS) from error
 
 
-async def _run(settings: Settings) -> None:
+async def _run(settings: Settings) -> bool:
+    """Run a daemon to its end; return whether it ended as planned."""
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop_requested.set)
     await daemon.run()
+    return not daemon.has_failed
 
 
 def main() -> None:
--- a/src/jaypier/membership/service.py
+++ b/src/jaypier/membership/service.py
@@ -9,6 +9,7 @@
 from jaypier.core.clock import Clock
 from jaypier.core.codec import DecodeError, from_json, to_json
 from jaypier.core.metrics import Metrics
+from jaypier.core.supervision import OnFailure, supervise
 from jaypier.membership.links import PeerLinks
 from jaypier.membership.messages import (
     ConfigurationOffer,
@@ -33,6 +34,7 @@
     :param build_heartbeat: returns this daemon's present heartbeat.
     :param on_machines: called after each reading of the platform's list.
     :param on_heartbeats: called when the others' reported load may have changed.
+    :param on_failure: called when one of the service's own tasks ends by a fault.
     :param seeds: peer addresses from the settings, for a start without the platform.
     """
 
@@ -48,6 +50,7 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        on_failure: OnFailure,
     ) -> None:
         self.state = state
         self.keeper = keeper
@@ -59,6 +62,7 @@
         self.clock = clock
         self.metrics = metrics
         self.rng = rng
+        self.on_failure = on_failure
         self.links: PeerLinks | None = None
         self.known_alive: set[str] = set()
         self.turn = rng.randrange(1 << 16)
@@ -66,8 +70,8 @@
 
     async def __aenter__(self) -> "MembershipService":
         self.tasks = [
-            asyncio.create_task(self.run_heartbeats()),
-            asyncio.create_task(self.run_machine_list()),
+            supervise(self.run_heartbeats(), "heartbeats", self.on_failure),
+            supervise(self.run_machine_list(), "machine list", self.on_failure),
         ]
         return self
 
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -6,9 +6,11 @@
 from contextlib import AsyncExitStack
 
 import attrs
+import structlog
 
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
+from jaypier.core.supervision import supervise
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.errors import LedgerError
 from jaypier.platform import Machine
@@ -18,6 +20,8 @@
 from jaypier.workers.protocol import ControlRequest, HttpWorkerLink, WorkerLink
 from jaypier.workers.session import EpochLost, SessionMessage, WorkerSession, WorkerSilent
 
+log = structlog.get_logger()
+
 TICK_SECONDS = 0.25
 """Longest time between two passes over timers."""
 
@@ -104,7 +108,7 @@
     :param epoch: fencing epoch under which the ownership was recorded.
     :param may_start: whether the configuration is known to be current.
     :param commit: coroutine function that records decisions in the ledger.
-    :param on_succeeded: called when a worker obeys a higher epoch.
+    :param on_succeeded: called when a worker obeys a higher epoch, or after a fault.
     """
 
     def __init__(
@@ -142,7 +146,10 @@
         self.tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "DataCentreOwner":
-        self.tasks = [asyncio.create_task(self.run()), asyncio.create_task(self.run_commits())]
+        self.tasks = [
+            supervise(self.run(), f"owner of {self.data_centre}", self.on_failure),
+            supervise(self.run_commits(), f"commits of {self.data_centre}", self.on_failure),
+        ]
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -158,6 +165,13 @@
         """Whether tasks may be started now."""
         return not self.is_deposed and self.check_permit(self)
 
+    def on_failure(self, name: str, error: BaseException) -> None:
+        """Give the data centre up after a fault: another process may do better."""
+        self.metrics.count("scheduling.faults")
+        log.error("data centre's owner failed", task=name, exc_info=error)
+        self.is_deposed = True
+        self.on_succeeded(self, self.epoch)
+
     def deliver(self, message: OwnerMessage) -> None:
         """Queue a message for the owner's task."""
         self.inbox.put_nowait(message)
@@ -223,6 +237,7 @@
                     self.build_request,
                     self.deliver,
                     self.current_interval,
+                    self.on_failure,
                     self.rng,
                 )
                 self.sessions[machine.id] = await self.stack.enter_async_context(session)
--- a/src/jaypier/scheduling/placing.py
+++ b/src/jaypier/scheduling/placing.py
@@ -187,7 +187,8 @@
     def _busy_share(self, workers: set[str]) -> float:
         """Return the share of some workers' accelerators that are in use."""
         total = sum(self.state.workers[name].accelerators for name in workers)
-        return 1 - sum(self.state.capacity.free_of(name) for name in workers) / total
+        free = sum(self.state.capacity.free_of(name) for name in workers)
+        return 1 - free / total if total else 1.0
 
     def _hand_back(self, waiting: list[Gang], now: float) -> None:
         """Give back gangs that found no room here, unless workers are kept free for them."""
--- a/src/jaypier/scheduling/service.py
+++ b/src/jaypier/scheduling/service.py
@@ -8,6 +8,7 @@
 
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
+from jaypier.core.supervision import OnFailure, supervise
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.errors import LedgerError
 from jaypier.notes.keeper import ConfigurationKeeper
@@ -53,6 +54,7 @@
     :param candidates: returns the identities of other daemons that could own data centres.
     :param store_is_down_for_all: whether a majority of daemons lacks the store just now.
     :param machines: returns the platform's list as last read.
+    :param on_failure: called when one of the service's own tasks ends by a fault.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        on_failure: OnFailure,
         open_link: LinkFactory = open_worker_link,
     ) -> None:
         self.leases = leases
@@ -77,6 +80,7 @@
         self.clock = clock
         self.metrics = metrics
         self.rng = rng
+        self.on_failure = on_failure
         self.open_link = open_link
         self.owners: dict[str, DataCentreOwner] = {}
         self.succeeded: asyncio.Queue[DataCentreOwner] = asyncio.Queue()
@@ -91,10 +95,10 @@
     async def __aenter__(self) -> "SchedulingService":
         self.keeper.subscribe(self.on_configuration)
         self.tasks = [
-            asyncio.create_task(self.run_takeovers()),
-            asyncio.create_task(self.run_renewals()),
-            asyncio.create_task(self.run_successions()),
-            asyncio.create_task(self.run_upkeep()),
+            supervise(self.run_takeovers(), "takeovers", self.on_failure),
+            supervise(self.run_renewals(), "renewals", self.on_failure),
+            supervise(self.run_successions(), "successions", self.on_failure),
+            supervise(self.run_upkeep(), "upkeep", self.on_failure),
         ]
         return self
 
@@ -240,7 +244,7 @@
             await self.drop(lease.data_centre)
 
     def on_succeeded(self, owner: DataCentreOwner, epoch: int) -> None:
-        """Note that a worker obeys a higher epoch than ours."""
+        """Note that an owner has been succeeded, or has failed."""
         self.succeeded.put_nowait(owner)
 
     async def run_successions(self) -> None:
@@ -248,7 +252,7 @@
         while True:
             owner = await self.succeeded.get()
             if self.owners.get(owner.data_centre) is owner:
-                log.info("data centre has a newer owner", data_centre=owner.data_centre)
+                log.info("data centre is no longer owned here", data_centre=owner.data_centre)
                 self.leases.held.pop(owner.data_centre, None)
                 await self.drop(owner.data_centre)
 
--- a/src/jaypier/workers/session.py
+++ b/src/jaypier/workers/session.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from jaypier.core.supervision import OnFailure, supervise
 from jaypier.workers.errors import EpochRefused, WorkerUnreachable
 from jaypier.workers.model import WorkerReport
 from jaypier.workers.protocol import ControlRequest, WorkerLink
@@ -38,6 +39,7 @@
     :param build_request: returns what to send now.
     :param deliver: called with each result.
     :param interval: seconds between renewals.
+    :param on_failure: called after a fault of the session itself.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         build_request: Callable[[str], ControlRequest],
         deliver: Callable[[SessionMessage], None],
         interval: Callable[[], float],
+        on_failure: OnFailure,
         rng: random.Random,
     ) -> None:
         self.worker = worker
@@ -54,12 +57,13 @@
         self.build_request = build_request
         self.deliver = deliver
         self.interval = interval
+        self.on_failure = on_failure
         self.rng = rng
         self.wake = asyncio.Event()
         self.task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "WorkerSession":
-        self.task = asyncio.create_task(self.run())
+        self.task = supervise(self.run(), f"session with {self.worker}", self.on_failure)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
