--- a/src/jaypier/operators/tests/test_api.py
+++ b/src/jaypier/operators/tests/test_api.py
@@ -1,5 +1,7 @@
 """Tests of reading notes from operators."""
 
+from pathlib import Path
+
 import testtools
 from testtools.matchers import Contains, Equals, HasLength
 
@@ -8,8 +10,14 @@
 from jaypier.operators.credentials import Credentials
 from jaypier.wire.messages import HttpRequest
 
+EXAMPLE = Path(__file__).parents[4] / "examples" / "note.json"
+
 
 class TestReadNote(testtools.TestCase):
+    def test_example_is_valid(self):
+        note = read_note(EXAMPLE.read_bytes())
+        self.assertThat([team.name for team in note.added.teams], Equals(["clinic", "sorting"]))
+
     def mistakes(self, body: bytes) -> list[str]:
         return self.assertRaises(DecodeError, read_note, body).mistakes
 
