Notes: adjacency can be given again; unknown choices name the known ones

Cause: the example note, loaded by a test at last, was refused: the strict reader's hook for text also took enumerations of text, so any note with an adjacency was invalid.

--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -5,6 +5,7 @@
 which ignores unknown keys so that neighbouring releases can talk to each other.
 """
 
+from enum import Enum
 from typing import Any, TypeVar
 
 import cattrs
@@ -19,8 +20,21 @@
 lenient_converter = make_converter()
 
 
+def _member(value: Any, expected: type[Enum]) -> Enum:
+    try:
+        return expected(value)
+    except ValueError:
+        known = ", ".join(str(member) for member in expected)
+        raise ValueError(f"{value!r} is not known; use one of: {known}") from None
+
+
 def _refuse_coercion(value: Any, expected: type) -> Any:
-    """Return ``value`` when it has exactly the expected type, bool not counting as int."""
+    """Return ``value`` when it has exactly the expected type, bool not counting as int.
+
+    :param expected: a basic type, or an enumeration derived from one.
+    """
+    if issubclass(expected, Enum):
+        return _member(value, expected)
     if expected is float and type(value) is int:
         return float(value)
     if type(value) is not expected:
--- a/src/jaypier/operators/tests/test_api.py
+++ b/src/jaypier/operators/tests/test_api.py
@@ -39,6 +39,13 @@
         self.assertThat("\n".join(mistakes), Contains("tasks 0 is not between 1 and 4096"))
         self.assertThat("\n".join(mistakes), Contains("expected int, got True"))
 
+    def test_unknown_adjacency_names_the_choices(self):
+        body = b"""{"id": "n", "added": {"teams": [{"name": "t", "guarantee": [
+            {"name": "s", "tasks": 1, "accelerators_per_task": 1, "adjacency": "moon"}]}]}}"""
+        self.assertThat(
+            self.mistakes(body)[0], Contains("'moon' is not known; use one of: rack, data_centre")
+        )
+
     def test_unrepeatable_job_cannot_be_preemptible(self):
         body = b"""{"id": "n", "added": {"jobs": [{"name": "j", "team": "t", "tasks": 1,
             "accelerators_per_task": 1, "command": "run", "repeatable": false}]}}"""
