Usage with a lag, half-open connections, slopes against teams, slots at an endpoint

Workers report usage with a lag; a job's status shows it. The demonstration leaves a dump of every daemon. Measurements print the most requests and connections that an endpoint had, and what daemons spend on teams; they have not been run yet.

--- a/measurements/control.py
+++ b/measurements/control.py
@@ -1,6 +1,6 @@
 """Measures control: notes in force, and what daemons spend, against daemons and workers.
 
-python -m measurements.control [notes] [idle] [workers]
+python -m measurements.control [notes] [idle] [workers] [teams]
 """
 
 import asyncio
@@ -171,9 +171,19 @@
         await print_usage(deployment, "workers", IDLE_SECONDS, asyncio.sleep, workers=count)
 
 
+async def measure_teams(teams: int) -> None:
+    """Measure what a daemon spends on teams."""
+    async with running(Shape(daemons=2)) as deployment:
+        entities = [{"name": f"team-{index}"} for index in range(teams)]
+        note = {"id": "teams", "added": {"teams": entities}}
+        await deployment.operate("entry-1", "POST", "/v1/notes", json.dumps(note).encode())
+        await asyncio.sleep(SETTLE_SECONDS)
+        await print_usage(deployment, "teams", IDLE_SECONDS, asyncio.sleep, teams=teams)
+
+
 async def main() -> None:
     """Make the chosen measurements, all by default."""
-    chosen = sys.argv[1:] or ["notes", "idle", "workers"]
+    chosen = sys.argv[1:] or ["notes", "idle", "workers", "teams"]
     if "notes" in chosen:
         await measure_in_force()
     if "idle" in chosen:
@@ -182,6 +192,9 @@
     if "workers" in chosen:
         for racks in (1, 4, 16, 32):
             await measure_workers(6, racks)
+    if "teams" in chosen:
+        for teams in (4, 90, 360):
+            await measure_teams(teams)
 
 
 if __name__ == "__main__":
--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -175,6 +175,11 @@
     summary = await work
     cut = summary.outcomes.get("broken", 0)
     print_figure("restarts.cut_requests", cut, "requests", **summary.outcomes)
+    reports = await deployment.endpoint_reports()
+    highest = max(report.most_waiting for report in reports)
+    print_figure("slots.most_requests_at_an_endpoint", highest, "requests", slots=8)
+    connections = max(report.most_connections for report in reports)
+    print_figure("slots.most_connections_at_an_endpoint", connections, "connections", limit=64)
     share = summary.outcomes.get("answered", 0) / sum(summary.outcomes.values())
     print_figure("restarts.answered_share", share, "share", daemons=len(names))
 
--- a/src/jaypier/scheduling/owner.py
+++ b/src/jaypier/scheduling/owner.py
@@ -14,7 +14,7 @@
 from jaypier.notes.configuration import Configuration, ConfigurationEntry
 from jaypier.notes.errors import LedgerError
 from jaypier.platform import Machine
-from jaypier.scheduling.model import Decisions, GangPhase
+from jaypier.scheduling.model import Decisions, Gang, GangPhase
 from jaypier.scheduling.scheduler import DataCentreScheduler
 from jaypier.workers.model import WorkerReport
 from jaypier.workers.protocol import ControlRequest, HttpWorkerLink, WorkerLink
@@ -74,7 +74,10 @@
 
 @attrs.frozen
 class GangSummary:
-    """One gang in a dump or a status answer."""
+    """One gang in a dump or a status answer.
+
+    :param usage: mean share of its accelerators in use, as workers reported it with a lag.
+    """
 
     job: str
     team: str
@@ -86,6 +89,7 @@
     workers: list[str]
     waiting_seconds: float
     stop_reason: str
+    usage: float
 
 
 @attrs.frozen
@@ -309,4 +313,13 @@
             sorted(gang.placement),
             round(waiting, 3),
             gang.stop_reason.value if gang.stop_reason else "",
+            self._usage_of(gang),
         )
+
+    def _usage_of(self, gang: Gang) -> float:
+        """Return the mean share of its accelerators that a gang was reported to use."""
+        reports = [
+            self.scheduler.workers[worker].reported.get(task) for task, worker in gang.tasks.items()
+        ]
+        used = sum(report.usage for report in reports if report is not None)
+        return round(used / len(reports), 3) if reports else 0.0
--- a/src/jaypier/workers/model.py
+++ b/src/jaypier/workers/model.py
@@ -67,12 +67,14 @@
     """State of one task as its worker reports it.
 
     :param reason: why a task failed or was stopped.
+    :param usage: share of its accelerators that it was using a while ago, 0 to 1.
     """
 
     task: TaskIdentity
     state: TaskState
     accelerators: int
     reason: str = ""
+    usage: float = 0.0
 
 
 @attrs.frozen
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -160,6 +160,9 @@
         say(f"  requests: {dict(outcomes)}")
         say(f"  starts in the drained data centre: {len(drained)}")
         say(f"  notes in force after (s): {self.in_force_seconds}")
+        dumps = await self.jaypier("dump")
+        (FOLDER / "dumps.json").write_text(dumps)
+        say(f"  dump of every daemon: {FOLDER / 'dumps.json'}, {len(dumps)} bytes")
         for name in self.deployment.running_daemons():
             dump = await self.deployment.dump(name)
             latency = dump["latencies_ms"].get("requests.latency", {})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -22,6 +22,9 @@
 
 TICK_SECONDS = 0.02
 
+USAGE_LAG_SECONDS = 2.0
+"""Time by which reported usage lags."""
+
 
 @attrs.define
 class WorkerFaults:
@@ -62,6 +65,7 @@
     left: float
     fails: bool
     reason: str = ""
+    released_at: float = 0.0
 
 
 class SimulatedWorker:
@@ -132,11 +136,18 @@
         for command in request.commands:
             self.obey(command)
         reports = [
-            TaskReport(task.identity, task.state, task.accelerators, task.reason)
+            TaskReport(
+                task.identity, task.state, task.accelerators, task.reason, self.usage_of(task)
+            )
             for task in self.tasks.values()
         ]
         return ControlReply(self.epoch, self.clock(), reports)
 
+    def usage_of(self, task: SimulatedTask) -> float:
+        """Return the usage as it was ``USAGE_LAG_SECONDS`` ago."""
+        was_running = self.clock() - task.released_at > USAGE_LAG_SECONDS
+        return 1.0 if task.state is TaskState.RUNNING and was_running else 0.0
+
     def obey(self, command: TaskCommand) -> None:
         """Obey one command."""
         task = self.tasks.get(command.task)
@@ -146,6 +157,7 @@
             return
         elif command.kind is CommandKind.RELEASE and task.state is TaskState.HELD:
             task.state = TaskState.RUNNING
+            task.released_at = self.clock()
             self.record("released", task)
         elif command.kind is CommandKind.STOP and not task.state.is_final:
             if command.checkpoint:
--- a/tests/test_requests_under_failure.py
+++ b/tests/test_requests_under_failure.py
@@ -1,12 +1,15 @@
 """Callers' requests while daemons are killed, frozen, stopped and endpoints misbehave."""
 
 import asyncio
+import contextlib
 from collections import Counter
 
 from testtools.matchers import Equals, GreaterThan
 
+from jaypier.core.address import Address
 from jaypier.platform.model import MachineKind
 from jaypier.requests.model import Outcome
+from jaypier.wire.server import REQUEST_READ_TIMEOUT
 from standins.callers import Identity
 from standins.deployment import Deployment
 from standins.endpoint import EndpointFaults
@@ -53,6 +56,33 @@
 
         self.play(work)
 
+    def test_half_open_connections_to_endpoints(self):
+        """Frozen endpoints keep their connections open and say nothing."""
+
+        async def disturb(deployment: Deployment):
+            deployment.freeze("endpoints-dc-b")
+            await asyncio.sleep(4.0)
+            deployment.thaw("endpoints-dc-b")
+
+        async def work(scenario: Scenario):
+            outcomes = await self.run_with_load(scenario, disturb)
+            self.assertThat(outcomes[None], Equals(0))
+            self.assertThat(outcomes[Outcome.ANSWERED], GreaterThan(100))
+
+        self.play(work)
+
+    def test_half_open_connection_of_a_caller_is_dropped(self):
+        async def work(scenario: Scenario):
+            address = Address.parse(scenario.deployment.address("entry-1"))
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(b"POST /v1/services/returns/book HTTP/1.1\r\nhost: a\r\n")
+            async with asyncio.timeout(REQUEST_READ_TIMEOUT + 5):
+                with contextlib.suppress(ConnectionError):
+                    self.assertThat(await reader.read(), Equals(b""))
+            writer.close()
+
+        self.play(work)
+
     def test_planned_stop_of_every_daemon_cuts_nothing(self):
         async def disturb(deployment: Deployment):
             for name in deployment.daemon_names():
