--- a/measurements/requests.py
+++ b/measurements/requests.py
@@ -3,7 +3,7 @@
 Each scenario is run with jaypier and against the baseline: callers that go to the endpoints
 round robin, without limits, health or retries.
 
-    python -m measurements.requests [path] [failures]
+    python -m measurements.requests [path] [slots] [failures]
 """
 
 import asyncio
@@ -175,15 +175,25 @@
     summary = await work
     cut = summary.outcomes.get("broken", 0)
     print_figure("restarts.cut_requests", cut, "requests", **summary.outcomes)
-    reports = await deployment.endpoint_reports()
-    highest = max(report.most_waiting for report in reports)
-    print_figure("slots.most_requests_at_an_endpoint", highest, "requests", slots=8)
-    connections = max(report.most_connections for report in reports)
-    print_figure("slots.most_connections_at_an_endpoint", connections, "connections", limit=64)
     share = summary.outcomes.get("answered", 0) / sum(summary.outcomes.values())
     print_figure("restarts.answered_share", share, "share", daemons=len(names))
 
 
+async def measure_slots() -> None:
+    """Measure how far daemons over-commit an endpoint's slots at twice the capacity."""
+    async with Deployment(FOLDER, Shape()) as deployment:
+        await deployment.wait_owned()
+        await set_service_time(deployment, SERVICE_SECONDS)
+        daemons = [deployment.address(name) for name in deployment.running_daemons()]
+        capacity = 8 * deployment.shape.endpoints / SERVICE_SECONDS
+        await run_load(daemons, rate=capacity, seconds=10.0, timeout=4.0)
+        reports = await deployment.endpoint_reports()
+        requests = max(report.most_waiting for report in reports)
+        print_figure("slots.most_requests_at_an_endpoint", requests, "requests", slots=8)
+        connections = max(report.most_connections for report in reports)
+        print_figure("slots.most_connections", connections, "connections", limit=64)
+
+
 async def measure_failures() -> None:
     """Measure goodput in a burst, a departure and restarts."""
     async with Deployment(FOLDER, Shape()) as deployment:
@@ -199,9 +209,11 @@
 
 async def main() -> None:
     """Make the chosen measurements, all by default."""
-    chosen = sys.argv[1:] or ["path", "failures"]
+    chosen = sys.argv[1:] or ["path", "slots", "failures"]
     if "path" in chosen:
         await measure_path()
+    if "slots" in chosen:
+        await measure_slots()
     if "failures" in chosen:
         await measure_failures()
 
