Reading the change: remove what nothing calls, sort the pool once a pass

Found: six functions or classes without a caller (apply_entries, InvalidNote, next_release, is_mine, open_connections, format_json) and the count that only one of them read; the jobs without a data centre were sorted twice in each pass; two places built an entity's key by hand beside entity_key.

Change: the unused is gone, the sorted jobs are passed on, entity_key is called. No behaviour changes and no test was touched.

--- a/src/jaypier/notes/ledger.py
+++ b/src/jaypier/notes/ledger.py
@@ -12,7 +12,6 @@
     Configuration,
     ConfigurationEntry,
     JobOutcome,
-    apply_entry,
 )
 from jaypier.notes.errors import (
     AlreadyAccepted,
@@ -283,11 +282,3 @@
         return from_json(data, Configuration)
     except DecodeError as error:
         raise LedgerError(f"ledger holds an unreadable snapshot: {error}") from error
-
-
-def apply_entries(configuration: Configuration, entries: list[ConfigurationEntry]) -> Configuration:
-    """Apply the entries that follow ``configuration`` without a gap; skip the others."""
-    for entry in entries:
-        if entry.version == configuration.version + 1:
-            configuration = apply_entry(configuration, entry)
-    return configuration
--- a/src/jaypier/notes/model.py
+++ b/src/jaypier/notes/model.py
@@ -6,8 +6,6 @@
 import attrs
 from attrs import validators
 
-from jaypier.core.errors import JaypierError
-
 MAX_NAME_LENGTH = 100
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]*"
 MAX_TASKS = 4096
@@ -15,17 +13,6 @@
 MAX_RUN_SECONDS = 30 * 86_400
 
 
-class InvalidNote(JaypierError):
-    """A release note cannot be applied.
-
-    :param mistakes: every mistake found, one line each.
-    """
-
-    def __init__(self, mistakes: list[str]) -> None:
-        super().__init__("; ".join(mistakes))
-        self.mistakes = mistakes
-
-
 def _name(instance: object, attribute: attrs.Attribute, value: str) -> None:
     if len(value) > MAX_NAME_LENGTH or not re.fullmatch(NAME_PATTERN, value):
         raise ValueError(
--- a/src/jaypier/scheduling/health.py
+++ b/src/jaypier/scheduling/health.py
@@ -84,11 +84,6 @@
         """Return the number of workers that are set aside."""
         return sum(now < health.quarantined_until for health in self.workers.values())
 
-    def next_release(self, now: float) -> float:
-        """Return when the next worker is to be probed, ``inf`` when none is set aside."""
-        ends = [each.quarantined_until for each in self.workers.values()]
-        return min((end for end in ends if end > now), default=float("inf"))
-
 
 def is_impossible(failures: Counter[str], health: HealthTracker) -> bool:
     """Whether a job has failed on enough workers that are not to blame themselves.
--- a/src/jaypier/scheduling/lifecycle.py
+++ b/src/jaypier/scheduling/lifecycle.py
@@ -1,6 +1,7 @@
 """Phases of gangs: from held to released, stopped and ended; no I/O."""
 
 from jaypier.notes.configuration import JobState
+from jaypier.notes.model import entity_key
 from jaypier.scheduling.health import is_impossible
 from jaypier.scheduling.model import Gang, GangPhase, StopReason, Worker
 from jaypier.scheduling.state import DataCentreState
@@ -199,7 +200,7 @@
             if gang is not None:
                 self._cancel(gang, now)
             return
-        revision = configuration.revisions.get(f"jobs/{name}", 0)
+        revision = configuration.revisions.get(entity_key("jobs", name), 0)
         if gang is not None and gang.revision != revision:
             self._cancel(gang, now)
         elif gang is None and name not in state.retired and name not in state.moved:
--- a/src/jaypier/scheduling/ownership.py
+++ b/src/jaypier/scheduling/ownership.py
@@ -108,10 +108,6 @@
             return
         self.observed[data_centre] = ObservedLease(record, row.version, self.clock.now())
 
-    def is_mine(self, record: OwnerRecord) -> bool:
-        """Whether a record was written by this process."""
-        return record.owner == self.own_id and record.incarnation == self.incarnation
-
     def is_any_quiet(self) -> bool:
         """Whether another daemon's lease may be about to run out."""
         now = self.clock.now()
--- a/src/jaypier/scheduling/placing.py
+++ b/src/jaypier/scheduling/placing.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jaypier.notes.model import Job
+from jaypier.notes.model import Job, entity_key
 from jaypier.scheduling.capacity import Capacity
 from jaypier.scheduling.claims import ClaimLedger
 from jaypier.scheduling.model import Gang, GangPhase, StopReason
@@ -130,11 +130,12 @@
         is_pending = any(name in state.pool for name in self.pulled)
         if not state.pool or (is_pending and now - self.pulled_at < PULL_SECONDS):
             return []
-        self.pulled = [*self._pull_for_patience(now), *self._pull_fitting(now)]
+        jobs = self._pool_jobs()
+        self.pulled = [*self._pull_for_patience(jobs, now), *self._pull_fitting(jobs, now)]
         self.pulled_at = now
         return self.pulled
 
-    def _pull_fitting(self, now: float) -> list[str]:
+    def _pull_fitting(self, jobs: list[Job], now: float) -> list[str]:
         """Return the oldest jobs that fit together on what is free here now.
 
         Single tasks are left to fuller data centres for a moment, so that whole racks stay
@@ -144,7 +145,7 @@
         capacity = self._capacity_without(self._kept_free()).copy()
         pulled: list[str] = []
         hopeless: set[tuple] = set()
-        for job in self._pool_jobs():
+        for job in jobs:
             shape = (job.tasks, job.accelerators_per_task, job.adjacency)
             if len(pulled) == MAX_PULLED or capacity.free_total == 0:
                 break
@@ -164,17 +165,20 @@
         jobs = [configuration.jobs[name] for name in self.state.pool]
         return sorted(
             (job for job in jobs if job.preemptible),
-            key=lambda job: (not job.urgent, configuration.revisions.get(f"jobs/{job.name}", 0)),
+            key=lambda job: (
+                not job.urgent,
+                configuration.revisions.get(entity_key("jobs", job.name), 0),
+            ),
         )
 
-    def _pull_for_patience(self, now: float) -> list[str]:
+    def _pull_for_patience(self, jobs: list[Job], now: float) -> list[str]:
         """Pull one large gang that has waited for long, to keep workers free for it.
 
         The data centre with the least work on the workers that the gang needs goes first.
         """
         if self.earmark is not None:
             return []
-        for job in self._pool_jobs():
+        for job in jobs:
             waited = now - self.state.pool[job.name]
             if waited < PATIENCE_SECONDS or job.tasks == 1:
                 # Older single tasks would wait still longer for the workers kept free.
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -185,7 +185,6 @@
         self.address = address
         self.max_body = max_body
         self.idle: deque[ClientConnection] = deque()
-        self.in_use = 0
 
     async def __aenter__(self) -> "ConnectionPool":
         return self
@@ -193,11 +192,6 @@
     async def __aexit__(self, *exc_info: object) -> None:
         self.close()
 
-    @property
-    def open_connections(self) -> int:
-        """Connections in use plus idle ones."""
-        return self.in_use + len(self.idle)
-
     def take_idle(self) -> ClientConnection | None:
         """Return a fresh idle connection, closing those that are stale."""
         now = asyncio.get_running_loop().time()
@@ -216,15 +210,11 @@
         :raises ExchangeTimeout: when the response is late.
         :raises BrokenExchange: when the connection ends or breaks the protocol.
         """
-        self.in_use += 1
-        try:
-            connection = self.take_idle()
-            if connection is None:
-                connect_timeout = min(timeout, CONNECT_TIMEOUT)
-                connection = await open_connection(self.address, connect_timeout, self.max_body)
-            response = await connection.exchange(request, timeout)
-        finally:
-            self.in_use -= 1
+        connection = self.take_idle()
+        if connection is None:
+            connect_timeout = min(timeout, CONNECT_TIMEOUT)
+            connection = await open_connection(self.address, connect_timeout, self.max_body)
+        response = await connection.exchange(request, timeout)
         if connection.is_reusable:
             self.idle.append(connection)
         return response
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import attrs
-import msgspec
 
 from jaypier.core.codec import from_json
 from jaypier.platform import (
@@ -116,11 +115,3 @@
 
     async def close(self) -> None:
         """Do nothing: there are no connections."""
-
-
-def format_json(body: bytes) -> str:
-    """Return JSON indented, for golden files; other bodies as text."""
-    try:
-        return msgspec.json.format(body, indent=2).decode()
-    except msgspec.DecodeError:
-        return body.decode("utf-8", "replace")
