--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,10 @@
+"""Starts the daemon of an entry VM from the sources that the build has compiled."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "target" / "src"))
+
+from jaypier.entry.main import main  # noqa: E402
+
+main()
--- a/src/jaypier/core/clock.py
+++ b/src/jaypier/core/clock.py
@@ -36,3 +36,11 @@
     def advance(self, seconds: float) -> None:
         """Move the clock forward by ``seconds``."""
         self.time += seconds
+
+
+class BootClock(Clock):
+    """A clock that also counts the time for which the VM was suspended."""
+
+    def now(self) -> float:
+        """Return ``CLOCK_BOOTTIME`` in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/jaypier/daemon/logs.py
+++ b/src/jaypier/daemon/logs.py
@@ -9,7 +9,7 @@
 
 
 def configure_logs(settings: LogSettings, daemon_id: str) -> None:
-    """Send log lines to standard error as JSON or for a console."""
+    """Send log lines to standard output as JSON or for a console."""
     renderer = (
         structlog.processors.JSONRenderer()
         if settings.format == "json"
@@ -26,6 +26,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, settings.level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
     )
     structlog.contextvars.bind_contextvars(daemon=daemon_id)
--- /dev/null
+++ b/src/jaypier/entry/configuration.py
@@ -0,0 +1,121 @@
+"""Operators' configuration: routes, services, teams and limits in force."""
+
+from abc import ABC, abstractmethod
+
+import attrs
+
+
+@attrs.frozen
+class Route:
+    """A queue: where callers hand jobs in and how these are treated.
+
+    :param host: value of the Host header.
+    :param prefix: beginning of the path.
+    :param service: pool of workers that runs its jobs.
+    :param priority: 0 is urgent.
+    :param max_attempts: failed runs of one task after which a job has failed.
+    :param slack_factor: multiple of its chain of work in which a job is due.
+    :param target_seconds: time that is added to that.
+    :param timeout_seconds: time in which a call has to be answered.
+    :param is_public: whether calls need no key.
+    :param needs_advice: whether an outside service names the workers it may use.
+    """
+
+    host: str
+    prefix: str
+    service: str
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    target_seconds: float
+    timeout_seconds: float
+    is_public: bool = False
+    needs_advice: bool = False
+
+    @property
+    def queue(self) -> str:
+        """Identity of the queue."""
+        return f"{self.host}{self.prefix}"
+
+
+@attrs.frozen
+class Team:
+    """A team.
+
+    :param keys: keys that its callers use.
+    :param guaranteed_accelerators: accelerators for its urgent jobs at all times.
+    """
+
+    name: str
+    keys: frozenset[str]
+    guaranteed_accelerators: int
+
+
+@attrs.frozen
+class Limits:
+    """Limits on calls.
+
+    :param header_bytes: size of a call's head at most.
+    :param body_bytes: size of a call's body at most.
+    :param header_seconds: time that a caller may take to send a call.
+    :param idle_seconds: time after which an idle connection is closed.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@attrs.frozen
+class Configuration:
+    """One version of the configuration, with the data centres that are out of service."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    teams: tuple[Team, ...] = ()
+    limits: Limits = attrs.field(factory=Limits)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that a path begins with."""
+        matching = [
+            route for route in self.routes if route.host == host and path.startswith(route.prefix)
+        ]
+        return max(matching, key=lambda route: len(route.prefix), default=None)
+
+    def team_of(self, key: str) -> Team | None:
+        """Return the team that a key belongs to."""
+        return next((team for team in self.teams if key in team.keys), None)
+
+
+@attrs.frozen
+class OperatorChanges:
+    """What operators have changed.
+
+    :param configuration: the newest version, ``None`` when it is not among the changes.
+    :param out_of_service: for each data centre that is named, whether it takes no new work.
+    :param version: version of the store up to which this is complete.
+    """
+
+    configuration: Configuration | None
+    out_of_service: dict[str, bool]
+    version: int
+
+
+class OperatorSource(ABC):
+    """Where operators leave their configuration."""
+
+    @abstractmethod
+    async def snapshot(self) -> OperatorChanges:
+        """Return all that is in force.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def follow(self, after: int, wait: float) -> OperatorChanges:
+        """Wait for changes after a version.
+
+        :raises HistoryLost: when these changes are no longer known.
+        :raises PlatformUnavailable: when there is no answer.
+        """
--- /dev/null
+++ b/src/jaypier/entry/front.py
@@ -0,0 +1,246 @@
+"""Callers' requests: hand a job in, ask for its state, cancel it, count what waits."""
+
+import asyncio
+import random
+import re
+import time
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from jaypier.core.clock import Clock
+from jaypier.core.metrics import Metrics
+from jaypier.entry.configuration import Configuration, Route
+from jaypier.entry.keeper import ConfigurationKeeper
+from jaypier.jobs.model import Job, JobStatus
+from jaypier.jobs.rows import JobTable
+from jaypier.platform import PlatformRefused, PlatformUnavailable
+from jaypier.platform.callers import (
+    BadRequest,
+    accepted_response,
+    deadline_of,
+    decode_job,
+    key_of,
+    pending_response,
+    refusal,
+    state_response,
+)
+from jaypier.wire.messages import HttpRequest, HttpResponse
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+
+ANSWER_MARGIN_SECONDS = 0.2
+"""Time left for the answer to reach a caller before its deadline."""
+
+STORE_PATIENCE_SECONDS = 0.8
+"""Time for which a call that has had no effect is tried again before it is refused."""
+
+STORE_RETRY_SECONDS = 0.1
+"""Time before the store is asked again after it did not answer."""
+
+RETRY_AFTER_SECONDS = 1
+"""When a refused caller may come back: the shortest time that the header can say."""
+
+TRUST_MARGIN_SECONDS = 0.6
+"""Time before the end of a removed key's grace at which unconfirmed keys are refused."""
+
+PENDING_AGE_SECONDS = 0.7
+"""Age up to which the numbers of waiting jobs are not read again."""
+
+log = structlog.get_logger()
+
+
+@attrs.frozen
+class Call:
+    """A caller's request on a route that exists, with a key that is in force.
+
+    :param job_id: the job that it names, empty for the queue itself.
+    :param team: team of the key, empty on a public route.
+    :param deadline: local time by which the caller has to be answered.
+    """
+
+    route: Route
+    job_id: str
+    team: str
+    deadline: float
+    request: HttpRequest
+
+
+class Front:
+    """Answers callers.
+
+    :param revocation_seconds: time after which a removed key must not be accepted.
+    """
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        jobs: JobTable,
+        revocation_seconds: float,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.keeper = keeper
+        self.jobs = jobs
+        self.trust_seconds = revocation_seconds - TRUST_MARGIN_SECONDS
+        self.clock = clock
+        self.metrics = metrics
+        self.rng = rng
+        self.wall = wall
+        self.pending: dict[str, int] = {}
+        self.pending_at = float("-inf")
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        began = self.clock.now()
+        call = self.admit(request, began)
+        response = call if isinstance(call, HttpResponse) else await self.serve(call)
+        self.metrics.count(f"front.{request.method}_{response.status}")
+        self.metrics.record(f"front.{request.method}", self.clock.now() - began)
+        return response
+
+    def admit(self, request: HttpRequest, now: float) -> Call | HttpResponse:
+        """Check route, key and form of a request; return the call, or the refusal."""
+        configuration = self.keeper.configuration
+        if configuration is None:
+            return refusal(503, "no configuration yet", RETRY_AFTER_SECONDS)
+        host = request.header(b"host").partition(":")[0]
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            return refusal(404, f"no queue at {host}{request.path}")
+        team = self.check_key(configuration, route, request)
+        if isinstance(team, HttpResponse):
+            return team
+        job_id = request.path[len(route.prefix) :]
+        is_queue = job_id == "" and request.method == "GET"
+        if not is_queue and not JOB_ID.fullmatch(job_id):
+            return refusal(404, f"{job_id[:32]!r} is not an identity of 16 hexadecimal digits")
+        wait = deadline_of(request, route.timeout_seconds)
+        return Call(route, job_id, team, now + wait - ANSWER_MARGIN_SECONDS, request)
+
+    def check_key(
+        self, configuration: Configuration, route: Route, request: HttpRequest
+    ) -> str | HttpResponse:
+        """Return the team of a request's key, or the refusal."""
+        if route.is_public:
+            return ""
+        if self.keeper.age > self.trust_seconds:
+            log.info("key not trusted", path=request.path, age=self.keeper.age)
+            return refusal(503, "keys cannot be confirmed now", RETRY_AFTER_SECONDS)
+        team = configuration.team_of(key_of(request))
+        if team is None:
+            return refusal(401, "unknown key")
+        return team.name
+
+    async def serve(self, call: Call) -> HttpResponse:
+        """Carry out a call."""
+        if call.job_id == "":
+            return await self.answer(call, self.count_pending)
+        method = call.request.method
+        if method == "POST":
+            return await self.submit(call)
+        if method == "GET":
+            return await self.answer(call, self.tell_state)
+        if method == "DELETE":
+            return await self.answer(call, self.cancel)
+        return refusal(405, f"{method} is not supported; use GET, POST or DELETE")
+
+    async def submit(self, call: Call) -> HttpResponse:
+        """Accept a job."""
+        route = call.route
+        try:
+            payload, steps = decode_job(call.request.body)
+        except BadRequest as error:
+            return refusal(400, str(error))
+        if route.needs_advice:
+            return refusal(400, "queues that need advice are not supported")
+        job = Job(
+            id=call.job_id,
+            queue=route.queue,
+            service=route.service,
+            team=call.team,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            slack_factor=route.slack_factor,
+            target_seconds=route.target_seconds,
+            submitted_at=self.wall(),
+            payload=payload,
+            steps=steps,
+        )
+
+        async def accept(call: Call) -> HttpResponse:
+            if await self.jobs.accept(job):
+                return accepted_response()
+            return refusal(409, f"another job has the identity {job.id}")
+
+        response = await self.answer(call, accept)
+        log.info(
+            "job submitted",
+            job=job.id,
+            status=response.status,
+            queue=job.queue,
+            configuration=self.keeper.configuration.version,
+        )
+        return response
+
+    async def answer(self, call: Call, action: Callable) -> HttpResponse:
+        """Carry out a call on the store, with retries.
+
+        A call that certainly had no effect is refused as not run, at once after a short
+        patience. One that may have had an effect is repeated, as that is harmless, until its
+        deadline; then its caller is told that the outcome is unknown.
+        """
+        began = self.clock.now()
+        may_have_run = False
+        while True:
+            try:
+                async with asyncio.timeout(max(0.05, call.deadline - self.clock.now())):
+                    return await action(call)
+            except PlatformUnavailable as error:
+                may_have_run |= error.effect_unknown and call.request.method != "GET"
+                reason = str(error)
+            except TimeoutError:
+                may_have_run |= call.request.method != "GET"
+                reason = "the store did not answer in time"
+            except PlatformRefused as error:
+                log.error("store refused a call", job=call.job_id, reason=str(error))
+                return refusal(500, "internal error")
+            now = self.clock.now()
+            patience = call.deadline if may_have_run else began + STORE_PATIENCE_SECONDS
+            if now + STORE_RETRY_SECONDS >= min(call.deadline, patience):
+                log.info("call given up", job=call.job_id, may_have_run=may_have_run, reason=reason)
+                if may_have_run:
+                    return refusal(504, "the outcome is not known; ask again")
+                return refusal(503, "not run: the store does not answer", RETRY_AFTER_SECONDS)
+            await asyncio.sleep(STORE_RETRY_SECONDS * self.rng.uniform(0.6, 1.4))
+
+    async def tell_state(self, call: Call) -> HttpResponse:
+        """Tell the state of a job."""
+        progress = await self.jobs.progress(call.job_id)
+        if progress is not None and progress.queue == call.route.queue:
+            return state_response(progress.status)
+        job = await self.jobs.find(call.job_id)
+        if job is None or job.queue != call.route.queue:
+            return refusal(410, f"no job {call.job_id}")
+        return state_response(JobStatus.QUEUED)
+
+    async def cancel(self, call: Call) -> HttpResponse:
+        """Store the wish to cancel a job."""
+        job = await self.jobs.find(call.job_id)
+        if job is None or job.queue != call.route.queue:
+            return refusal(410, f"no job {call.job_id}")
+        if job.team != call.team:
+            return refusal(403, "the job belongs to another team")
+        await self.jobs.cancel(call.job_id)
+        return accepted_response()
+
+    async def count_pending(self, call: Call) -> HttpResponse:
+        """Tell how many jobs of a queue have not begun."""
+        now = self.clock.now()
+        if now - self.pending_at > PENDING_AGE_SECONDS:
+            self.pending = await self.jobs.pending()
+            self.pending_at = now
+        return pending_response(self.pending.get(call.route.queue, 0))
--- /dev/null
+++ b/src/jaypier/jobs/abstract.py
@@ -0,0 +1,88 @@
+"""The entry point that every way of speaking to workers implements."""
+
+from abc import ABC, abstractmethod
+
+import attrs
+
+from jaypier.core.errors import JaypierError
+from jaypier.jobs.model import StartAnswer, StartOrder, TaskId, WorkerEntry, WorkerReport
+
+
+class WorkerUnreachable(JaypierError):
+    """A worker did not answer; the order may still be carried out later."""
+
+
+class WorkerDeposedUs(JaypierError):
+    """A worker has obeyed a newer leader."""
+
+
+class WorkerReplaced(JaypierError):
+    """Another worker answers at the address."""
+
+
+class WorkerLink(ABC):
+    """Orders to one worker."""
+
+    @abstractmethod
+    async def renew(self, epoch: int, seen: int, deadline: int | None, wait: float) -> WorkerReport:
+        """Renew the lease of all that runs, and learn what runs and what has ended.
+
+        :param epoch: epoch of the leader.
+        :param seen: number of the last end that the worker may forget.
+        :param deadline: worker clock in milliseconds until which the lease is to hold.
+        :param wait: seconds that the worker may wait for an end.
+        :raises WorkerUnreachable: when there is no answer.
+        :raises WorkerDeposedUs: when the worker knows a newer epoch.
+        :raises WorkerReplaced: when another worker answers.
+        """
+
+    @abstractmethod
+    async def start(self, epoch: int, order: StartOrder) -> StartAnswer:
+        """Start a task; repeating an order is harmless.
+
+        :raises WorkerUnreachable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def stop(self, epoch: int, task: TaskId, attempt: int) -> None:
+        """Stop a run, or make sure that it never starts.
+
+        :raises WorkerUnreachable: when there is no answer.
+        :raises WorkerDeposedUs: when the worker knows a newer epoch.
+        :raises WorkerReplaced: when another worker answers.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connections to the worker."""
+
+
+@attrs.frozen
+class WorkerListing:
+    """Registered workers.
+
+    :param entries: each worker, ``None`` for one that is gone or not to be used.
+    :param version: version up to which the listing is complete.
+    """
+
+    entries: dict[str, WorkerEntry | None]
+    version: int
+
+
+class WorkerDirectory(ABC):
+    """Where workers register."""
+
+    @abstractmethod
+    async def snapshot(self) -> WorkerListing:
+        """Return every registered worker.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def follow(self, after: int, wait: float) -> WorkerListing:
+        """Wait for entries that changed after a version.
+
+        :raises HistoryLost: when these changes are no longer known.
+        :raises PlatformUnavailable: when there is no answer.
+        """
--- /dev/null
+++ b/src/jaypier/jobs/board.py
@@ -0,0 +1,349 @@
+"""Book-keeping of jobs, workers and runs: pure, with time and events as arguments."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from jaypier.jobs.model import (
+    ActiveRun,
+    EndedRun,
+    Job,
+    JobStatus,
+    RunEnd,
+    StartAnswer,
+    TaskId,
+    WorkerEntry,
+    WorkerReport,
+)
+from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
+
+CLOCK_DRIFT = 1.03
+"""Upper bound of local time against a worker's clock, which may be 2% slow, and a margin."""
+
+LEASE_MARGIN = 0.15
+"""Seconds added to a lease for the estimate of the worker's clock."""
+
+SUSPECT_SECONDS = 6.0
+"""Time for which a worker is avoided after a failed run: the usual length of a disruption."""
+
+RETRY_SECONDS = 0.3
+"""Time before a refused start is tried again, a little over a worker's round trip."""
+
+ATTEMPTS_PER_EPOCH = 64
+"""Distance between the attempt numbers of two leaders, so that they never use the same one."""
+
+
+@attrs.frozen
+class UnknownRun:
+    """A run that a worker holds and no decision asked for."""
+
+    worker: str
+    task: TaskId
+    attempt: int
+
+
+class JobBoard:
+    """Jobs, workers and what runs where.
+
+    :param epoch: epoch of the present leader.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.jobs: dict[str, JobState] = {}
+        self.workers: dict[str, Worker] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.changed: set[str] = set()
+        self.cancelled: set[str] = set()
+
+    # Jobs
+
+    def add_job(self, job: Job) -> JobState | None:
+        """Take in an accepted job; return ``None`` when it is known."""
+        if job.id in self.jobs:
+            return None
+        state = new_job_state(job)
+        self.insert(state)
+        return state
+
+    def insert(self, state: JobState) -> None:
+        """Take in a job with its progress."""
+        self.jobs[state.job.id] = state
+        if state.job.id in self.cancelled:
+            self.cancel_job(state.job.id)
+
+    def cancel_job(self, job_id: str) -> list[Run]:
+        """End a job at its caller's wish; return the runs to stop."""
+        self.cancelled.add(job_id)
+        state = self.jobs.get(job_id)
+        if state is None or state.status.is_final:
+            return []
+        return self.end_job(state, JobStatus.CANCELLED)
+
+    def end_job(self, state: JobState, status: JobStatus) -> list[Run]:
+        """Give a job its final status; return the runs to stop."""
+        state.status = status
+        self.changed.add(state.job.id)
+        return [run for run in state.runs if self.mark_stopping(run)]
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop an ended job."""
+        self.jobs.pop(job_id, None)
+        self.cancelled.discard(job_id)
+
+    def find_task(self, task: TaskId) -> tuple[StepState, TaskState] | None:
+        """Return the state of a task, or ``None`` when no job has it."""
+        state = self.jobs.get(task.job)
+        if state is None or task.occurrence != 0 or task.step >= len(state.steps):
+            return None
+        step = state.steps[task.step]
+        return (step, step.tasks[task.index]) if task.index < len(step.tasks) else None
+
+    def next_attempt(self, state: JobState) -> int:
+        """Return a number above that of every earlier start of the job's tasks."""
+        first_of_epoch = (self.epoch - 1) * ATTEMPTS_PER_EPOCH + 1 if state.is_recovered else 1
+        state.attempt = max(state.attempt + 1, first_of_epoch)
+        return state.attempt
+
+    # Workers
+
+    def list_worker(self, entry: WorkerEntry, now: float) -> Worker:
+        """Take in a worker's entry."""
+        worker = self.workers.get(entry.id)
+        if worker is None:
+            worker = Worker(entry, born=entry.born, clock=entry.clock, clock_at=now)
+            self.workers[entry.id] = worker
+        elif entry.born != worker.born:
+            self.reset_worker(worker, entry.born)
+            worker.clock, worker.clock_at = entry.clock, now
+        worker.entry = entry
+        worker.is_listed = True
+        return worker
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """Note that the platform no longer lists a worker."""
+        if worker_id in self.workers:
+            self.workers[worker_id].is_listed = False
+
+    def drop_worker(self, worker: Worker) -> None:
+        """Forget a worker that is gone for good."""
+        self.lose_runs(worker)
+        self.workers.pop(worker.id, None)
+
+    def reset_worker(self, worker: Worker, born: int) -> None:
+        """Note that a worker has started again and knows nothing of before."""
+        self.lose_runs(worker)
+        worker.born = born
+        worker.processed = worker.durable = 0
+        worker.failures = 0
+        worker.lease_until = -math.inf
+
+    def lose_runs(self, worker: Worker) -> None:
+        """Note that nothing runs on a worker any more."""
+        for run in list(worker.runs.values()):
+            self.end_run(run)
+
+    def expire(self, now: float) -> list[Worker]:
+        """Note the workers whose lease has run out without a report."""
+        expired = [each for each in self.workers.values() if each.runs and now > each.lease_until]
+        for worker in expired:
+            self.lose_runs(worker)
+        return expired
+
+    def extend_lease(self, worker: Worker, deadline: int, now: float) -> None:
+        """Note, before an order is sent, how long it may keep the worker at work."""
+        seconds = (deadline - worker.clock_now(now)) / 1000
+        until = now + seconds * CLOCK_DRIFT + LEASE_MARGIN
+        worker.lease_until = max(worker.lease_until, until)
+
+    @property
+    def missing_workers(self) -> list[Worker]:
+        """Workers that have not reported to the present leader."""
+        return [worker for worker in self.workers.values() if not worker.is_known]
+
+    # Runs
+
+    def start_run(self, step: StepState, task: TaskState, worker: Worker, attempt: int, now: float):
+        """Assign a task to a worker; return the run."""
+        run = Run(task.id, attempt, worker, step, now)
+        task.run = run
+        worker.hold(run)
+        job = step.job
+        if not job.has_started:
+            job.has_started = True
+            job.status = JobStatus.RUNNING
+            self.changed.add(job.job.id)
+        return run
+
+    def mark_stopping(self, run: Run) -> bool:
+        """Note that a run is to be stopped; return whether that is new."""
+        if run.is_stopping:
+            return False
+        run.is_stopping = True
+        return True
+
+    def end_run(self, run: Run) -> None:
+        """Free what a run held, without a word on how it ended."""
+        run.worker.release(run)
+        found = self.find_task(run.task)
+        if found is not None and found[1].run is run:
+            found[1].run = None
+        step = run.step
+        if step.step.is_gang:
+            step.is_tearing_down = bool(step.runs)
+
+    def report(
+        self, worker: Worker, report: WorkerReport, sent_at: float, now: float
+    ) -> tuple[list[EndedRun], list[UnknownRun]]:
+        """Take in a worker's report.
+
+        :param sent_at: local time at which the report was asked for.
+        :returns: ends that are new, and runs that have to be stopped as nobody asked for them.
+        """
+        if report.born != worker.born:
+            self.reset_worker(worker, report.born)
+        worker.clock, worker.clock_at = report.clock, now
+        worker.heard_at = now
+        worker.is_known = True
+        worker.is_unreachable = False
+        new_ends = [end for end in report.ended if end.number > worker.processed]
+        for end in new_ends:
+            self.take_end(worker, end, now)
+            worker.processed = max(worker.processed, end.number)
+        unknown = [
+            UnknownRun(worker.id, each.task, each.attempt)
+            for each in report.active
+            if not self.take_active(worker, each, sent_at, now)
+        ]
+        active = {(each.task, each.attempt) for each in report.active}
+        for run in list(worker.runs.values()):
+            is_complete = sent_at > run.settled_at or report.clock > run.order_deadline
+            if run.key not in active and is_complete:
+                self.end_run(run)
+        return new_ends, unknown
+
+    def take_active(self, worker: Worker, active: ActiveRun, sent_at: float, now: float) -> bool:
+        """Take in a run that a worker holds; return whether it is wanted."""
+        run = worker.runs.get((active.task, active.attempt))
+        if run is None:
+            run = self.adopt(worker, active, now)
+            if run is None:
+                return False
+        run.is_confirmed = True
+        run.settled_at = min(run.settled_at, sent_at)
+        if active.percent > run.percent or run.progressed_at == math.inf:
+            run.percent, run.progressed_at = active.percent, now
+        if active.checkpoint:
+            self.keep_checkpoint(run, active.checkpoint, now)
+        return True
+
+    def adopt(self, worker: Worker, active: ActiveRun, now: float) -> Run | None:
+        """Take over a run that an earlier leader started, if it is still wanted."""
+        found = self.find_task(active.task)
+        if found is None:
+            return None
+        step, task = found
+        state = step.job
+        state.attempt = max(state.attempt, active.attempt)
+        others = {run.attempt for run in step.runs}
+        is_wanted = not task.is_done and task.run is None and not state.status.is_final
+        if not is_wanted or (step.step.is_gang and others - {active.attempt}):
+            return None
+        run = self.start_run(step, task, worker, active.attempt, now)
+        run.order_deadline = worker.clock
+        return run
+
+    def keep_checkpoint(self, run: Run, checkpoint: str, now: float) -> None:
+        """Keep the newest checkpoint of a run."""
+        tasks = run.step.tasks if run.step.step.is_gang else [run.step.tasks[run.task.index]]
+        if tasks[0].checkpoint != checkpoint:
+            run.checkpointed_at = now
+        for task in tasks:
+            task.checkpoint = checkpoint
+
+    def take_end(self, worker: Worker, end: EndedRun, now: float) -> None:
+        """Take in the end of a run."""
+        run = worker.runs.get((end.task, end.attempt))
+        if run is not None:
+            self.end_run(run)
+        found = self.find_task(end.task)
+        if found is None:
+            return
+        step, task = found
+        state = step.job
+        state.attempt = max(state.attempt, end.attempt)
+        if end.checkpoint and not task.is_done:
+            for each in step.tasks if step.step.is_gang else [task]:
+                each.checkpoint = end.checkpoint
+        if end.end is RunEnd.DONE:
+            worker.failures = 0
+            worker.avoid_until = -math.inf
+            self.finish_task(step, task)
+        elif end.end is RunEnd.FAILED:
+            self.fail_task(worker, step, task, end.attempt, now)
+        self.changed.add(state.job.id)
+
+    def finish_task(self, step: StepState, task: TaskState) -> None:
+        """Note that a task, or its whole gang, has ended well."""
+        for each in step.tasks if step.step.is_gang else [task]:
+            each.is_done = True
+            each.checkpoint = ""
+        state = step.job
+        if not state.status.is_final and all(each.is_done for each in state.steps):
+            state.status = JobStatus.COMPLETED
+            self.changed.add(state.job.id)
+
+    def fail_task(
+        self, worker: Worker, step: StepState, task: TaskState, attempt: int, now: float
+    ) -> None:
+        """Note that a run of a task has failed, by its own fault or its worker's."""
+        worker.failures += 1
+        worker.avoid_until = now + SUSPECT_SECONDS * min(worker.failures, 3)
+        task.failures += 1
+        task.failed_on.add(worker.id)
+        step.failed_attempts.add(attempt)
+        limit = step.job.job.max_attempts
+        failures = len(step.failed_attempts) if step.step.is_gang else task.failures
+        if failures >= limit and not step.job.status.is_final:
+            step.job.status = JobStatus.FAILED
+
+    def take_start_answer(self, run: Run, answer: StartAnswer, now: float) -> None:
+        """Take in a worker's answer to the start of a run."""
+        if run.worker.runs.get(run.key) is not run:
+            return
+        if answer is StartAnswer.STARTED:
+            run.is_confirmed = True
+            run.settled_at = now
+            return
+        if answer is StartAnswer.UNHEALTHY:
+            run.worker.avoid_until = now + SUSPECT_SECONDS
+        self.end_run(run)
+        run.step.job.not_before = now + RETRY_SECONDS
+
+    def runs_to_stop(self) -> Iterator[Run]:
+        """Mark and return the runs that have no more use.
+
+        These are runs of ended jobs, of tasks that are done, and the rest of gangs of which a
+        task has ended.
+        """
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if self.is_useless(run) and self.mark_stopping(run):
+                    yield run
+
+    def is_useless(self, run: Run) -> bool:
+        """Whether a run has no more use; the tasks of a gang that is done end by themselves."""
+        step = run.step
+        if step.step.is_gang and step.is_done:
+            return False
+        if step.job.status.is_final or step.tasks[run.task.index].is_done:
+            return True
+        return step.is_tearing_down
+
+    def tear_down_partial_gangs(self) -> None:
+        """Mark gangs of which an earlier leader has left only a part."""
+        for state in self.jobs.values():
+            for step in state.steps:
+                if step.step.is_gang and 0 < len(step.runs) < step.step.count:
+                    step.is_tearing_down = True
--- /dev/null
+++ b/src/jaypier/jobs/election.py
@@ -0,0 +1,150 @@
+"""Which daemon leads: a row of the store that is renewed, with an epoch that grows."""
+
+import asyncio
+import random
+
+import attrs
+import structlog
+
+from jaypier.core.clock import Clock
+from jaypier.core.codec import from_plain, to_plain
+from jaypier.platform import (
+    Condition,
+    ConditionFailed,
+    FollowedTable,
+    HistoryLost,
+    PlatformUnavailable,
+    Put,
+    Row,
+    Transaction,
+)
+
+LEADER_TABLE = "leader"
+LEADER_KEY = "leader/leader"
+
+RENEW_SECONDS = 0.8
+"""Time between two renewals by the leader."""
+
+TAKEOVER_SECONDS = 2.4
+"""Silence of the leader after which others take over: two renewals lost, and a slow answer."""
+
+SPREAD_SECONDS = 0.4
+"""Spread of the followers' takeovers, so that one comes first."""
+
+RETRY_SECONDS = 0.25
+"""Time before the store is asked again after it did not answer."""
+
+log = structlog.get_logger()
+
+
+@attrs.frozen
+class Leadership:
+    """Content of the leader's row.
+
+    :param owner: incarnation of the daemon that leads, empty after it has left.
+    :param epoch: grows with each change of the leader.
+    :param renewals: grows with each renewal.
+    """
+
+    owner: str
+    epoch: int
+    renewals: int = 0
+
+
+class Election:
+    """Follows the leader's row until this daemon leads.
+
+    :param owner: incarnation of this daemon.
+    :param handicap: seconds by which this daemon waits longer than others before it takes over.
+    """
+
+    def __init__(
+        self,
+        table: FollowedTable,
+        owner: str,
+        handicap: float,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.table = table
+        self.owner = owner
+        self.handicap = handicap
+        self.clock = clock
+        self.rng = rng
+        self.leadership = Leadership("", 0)
+        self.version = 0
+        self.changed_at = clock.now()
+
+    async def win(self) -> tuple[int, int]:
+        """Wait until this daemon leads; return its epoch and the version of the row."""
+        await self.read()
+        while True:
+            try:
+                if self.is_vacant:
+                    won = await self.claim()
+                    if won:
+                        return self.leadership.epoch, self.version
+                await self.follow()
+            except PlatformUnavailable:
+                await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.6, 1.4))
+            except HistoryLost:
+                await self.read()
+
+    async def read(self) -> None:
+        """Read the row, however long it takes."""
+        while True:
+            try:
+                row = await self.table.read(LEADER_KEY)
+            except PlatformUnavailable:
+                await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.6, 1.4))
+                continue
+            if row is not None:
+                self.take(row)
+            return
+
+    @property
+    def is_vacant(self) -> bool:
+        """Whether nobody has renewed the row for too long, or its owner has left."""
+        silence = self.clock.now() - self.changed_at
+        if self.leadership.owner == "":
+            return silence >= self.handicap * self.rng.random()
+        return silence >= TAKEOVER_SECONDS + self.handicap
+
+    def take(self, row: Row) -> None:
+        """Take in a new version of the row."""
+        if row.version <= self.version or row.value is None:
+            return
+        leadership = from_plain(row.value, Leadership)
+        if leadership.epoch != self.leadership.epoch:
+            log.info("leader seen", owner=leadership.owner, epoch=leadership.epoch)
+        self.leadership, self.version = leadership, row.version
+        self.changed_at = self.clock.now()
+
+    async def follow(self) -> None:
+        """Wait for a change of the row, or for the time to take over."""
+        silence = self.clock.now() - self.changed_at
+        wait = TAKEOVER_SECONDS + self.handicap - silence
+        if self.leadership.owner == "":
+            wait = 0.02
+        wait = min(max(wait, 0.02), TAKEOVER_SECONDS)
+        changes = await self.table.follow(LEADER_TABLE, self.version, wait)
+        for row in changes.rows:
+            if row.key == LEADER_KEY:
+                self.take(row)
+
+    async def claim(self) -> bool:
+        """Try to become the leader."""
+        claim = Leadership(self.owner, self.leadership.epoch + 1)
+        transaction = Transaction(
+            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(claim))]
+        )
+        try:
+            version = await self.table.commit(transaction)
+        except ConditionFailed as error:
+            row = error.current.get(LEADER_KEY)
+            if row is None:
+                return False
+            self.take(row)
+            return self.leadership.owner == self.owner
+        self.leadership, self.version = claim, version
+        return True
--- /dev/null
+++ b/src/jaypier/jobs/ledger.py
@@ -0,0 +1,120 @@
+"""The leader's writes: conditional on its leadership, in order, in batches."""
+
+import asyncio
+from typing import Any
+
+import structlog
+
+from jaypier.core.clock import Clock
+from jaypier.core.codec import from_plain, to_plain
+from jaypier.core.errors import JaypierError
+from jaypier.jobs.election import LEADER_KEY, Leadership
+from jaypier.platform import (
+    Condition,
+    ConditionFailed,
+    FollowedTable,
+    PlatformUnavailable,
+    Put,
+    Transaction,
+)
+
+TURN_KEY = "turns/turn"
+
+RETRY_SECONDS = 0.2
+"""Time before a write is tried again after the store did not answer."""
+
+MAX_ROWS = 80
+"""Rows of one write; the store takes 100 with the conditions."""
+
+log = structlog.get_logger()
+
+
+class Deposed(JaypierError):
+    """Another daemon leads."""
+
+
+class LeaderLedger:
+    """Writes of one leader, one at a time.
+
+    Each write replaces the row ``turns/turn`` and names the versions of it and of the leader's
+    row. So a write whose answer was lost, and that the store carries out late, can neither
+    overwrite a later one nor outlive the leadership.
+
+    :param leadership: content of the leader's row.
+    :param version: version of the leader's row.
+    """
+
+    def __init__(
+        self, table: FollowedTable, leadership: Leadership, version: int, clock: Clock
+    ) -> None:
+        self.table = table
+        self.leadership = leadership
+        self.version = version
+        self.turn_version = 0
+        self.clock = clock
+        self.confirmed_at = clock.now()
+        self.renewed_at = clock.now()
+        self.writes = 0
+
+    async def open(self) -> None:
+        """Read the present turn."""
+        row = await self.table.read(TURN_KEY)
+        self.turn_version = 0 if row is None else row.version
+
+    async def write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
+        """Write rows, as often as it takes until the store has answered.
+
+        :param renew: whether to renew the leadership as well.
+        :raises Deposed: when another daemon leads.
+        """
+        while True:
+            sent_at = self.clock.now()
+            try:
+                await self.try_write(puts, deletes, renew)
+            except PlatformUnavailable as error:
+                log.debug("write not confirmed", error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+            except ConditionFailed as error:
+                self.adopt(error.current)
+            else:
+                self.confirmed_at = sent_at
+                return
+
+    async def try_write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
+        """Make one attempt to write rows."""
+        conditions = [Condition(LEADER_KEY, self.version), Condition(TURN_KEY, self.turn_version)]
+        self.writes += 1
+        own: list[Put] = [Put(TURN_KEY, self.leadership.epoch)]
+        if renew:
+            renewals = self.leadership.renewals + 1
+            self.leadership = Leadership(self.leadership.owner, self.leadership.epoch, renewals)
+            own.append(Put(LEADER_KEY, to_plain(self.leadership)))
+        version = await self.table.commit(Transaction(conditions, own + puts, deletes))
+        self.turn_version = version
+        if renew:
+            self.version = version
+            self.renewed_at = self.clock.now()
+
+    def adopt(self, current: dict[str, Any]) -> None:
+        """Take over the versions of an own write whose answer was lost.
+
+        :raises Deposed: when another daemon leads.
+        """
+        row = current.get(LEADER_KEY)
+        held = None if row is None else from_plain(row.value, Leadership)
+        if held is None or (held.owner, held.epoch) != (
+            self.leadership.owner,
+            self.leadership.epoch,
+        ):
+            raise Deposed(f"another daemon leads: {held}")
+        self.version = row.version
+        turn = current.get(TURN_KEY)
+        self.turn_version = 0 if turn is None else turn.version
+
+    async def leave(self) -> None:
+        """Give the leadership up, so that another daemon takes over at once."""
+        vacant = Leadership("", self.leadership.epoch, self.leadership.renewals + 1)
+        transaction = Transaction(
+            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(vacant))]
+        )
+        await self.table.commit(transaction)
--- /dev/null
+++ b/src/jaypier/jobs/model.py
@@ -0,0 +1,270 @@
+"""Jobs as callers hand them in, and workers as they report themselves."""
+
+from enum import StrEnum
+
+import attrs
+
+from jaypier.core.address import Address
+
+URGENT_PRIORITY = 0
+"""Priority of jobs that a team's guarantee covers."""
+
+
+@attrs.frozen
+class Resources:
+    """An amount of what a worker has.
+
+    :param processor_millis: thousandths of a processor core.
+    :param memory_mb: memory in MB.
+    :param accelerators: number of accelerators.
+    """
+
+    processor_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.processor_millis + other.processor_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.processor_millis - other.processor_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def copies_within(self, room: "Resources") -> int:
+        """Return how many times this amount fits in ``room``."""
+        ratios = [
+            have // need
+            for need, have in (
+                (self.processor_millis, room.processor_millis),
+                (self.memory_mb, room.memory_mb),
+                (self.accelerators, room.accelerators),
+            )
+            if need > 0
+        ]
+        return max(0, min(ratios, default=1_000_000))
+
+
+@attrs.frozen
+class Step:
+    """Equal tasks of a job that may start together.
+
+    :param demand: what one task needs.
+    :param estimated_seconds: the caller's rough estimate of a task's duration.
+    :param after: numbers of earlier steps whose tasks must all have ended first.
+    :param saves: whether its tasks write checkpoints.
+    :param is_gang: whether its tasks only work together.
+    :param is_rack_local: whether its tasks are slower on more than one rack.
+    :param label: label that the worker must have, empty for any worker.
+    :param data_rack: rack on which its tasks are fastest, empty where it does not matter.
+    :param max_per_worker: tasks of the step on one worker at most, 0 for no limit.
+    """
+
+    count: int
+    demand: Resources
+    estimated_seconds: float
+    after: tuple[int, ...] = ()
+    saves: bool = False
+    is_gang: bool = False
+    is_rack_local: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+
+
+@attrs.frozen
+class Job:
+    """A job that was accepted.
+
+    :param id: identity that the caller chose.
+    :param queue: host and path prefix under which it was handed in.
+    :param service: pool of workers that runs it.
+    :param priority: 0 is urgent and may preempt others.
+    :param max_attempts: failed runs of one task after which the job has failed.
+    :param slack_factor: multiple of its longest chain of work in which it is due.
+    :param target_seconds: time that is added to that.
+    :param submitted_at: Unix time of its acceptance, in seconds.
+    :param payload: what its tasks run; passed on unread.
+    """
+
+    id: str
+    queue: str
+    service: str
+    team: str
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    target_seconds: float
+    submitted_at: float
+    payload: str
+    steps: tuple[Step, ...]
+
+    def chain_seconds(self) -> float:
+        """Return the estimated duration of its longest chain of steps."""
+        ends: list[float] = []
+        for step in self.steps:
+            ends.append(
+                step.estimated_seconds + max((ends[number] for number in step.after), default=0.0)
+            )
+        return max(ends, default=0.0)
+
+    @property
+    def objective_seconds(self) -> float:
+        """Time from its acceptance in which its caller counts on its end."""
+        return self.slack_factor * self.chain_seconds() + self.target_seconds
+
+    def is_same_request(self, other: "Job") -> bool:
+        """Whether ``other`` asks for the same work."""
+        return (self.queue, self.payload, self.steps) == (other.queue, other.payload, other.steps)
+
+
+class JobStatus(StrEnum):
+    """What callers are told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self in (JobStatus.COMPLETED, JobStatus.FAILED, JobStatus.CANCELLED)
+
+
+@attrs.frozen(order=True)
+class TaskId:
+    """Identity of a task.
+
+    :param occurrence: which repetition of the job, 0 for a job that runs once.
+    :param step: number of its step.
+    :param index: number within its step.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskId":
+        """Parse ``"JOB.OCCURRENCE.STEP.INDEX"``.
+
+        :raises ValueError: when the text has another form.
+        """
+        job, occurrence, step, index = text.rsplit(".", 3)
+        return cls(job, int(occurrence), int(step), int(index))
+
+
+@attrs.frozen
+class WorkerEntry:
+    """A worker as it registered itself.
+
+    :param id: identity of the worker; it may start again under the same one.
+    :param born: Unix time of its start in milliseconds.
+    :param clock: its own clock when it registered, in milliseconds.
+    :param is_ready: whether it takes new work.
+    :param labels: labels that steps may ask for.
+    """
+
+    id: str
+    service: str
+    address: Address
+    data_centre: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    is_ready: bool
+    born: int
+    clock: int
+
+
+class RunEnd(StrEnum):
+    """How a run of a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    EXPIRED = "expired"
+    PEER_ENDED = "peer_ended"
+    PEERS_MISSING = "peers_missing"
+
+
+@attrs.frozen
+class ActiveRun:
+    """A run that a worker holds.
+
+    :param attempt: number of the task's start.
+    :param checkpoint: newest checkpoint, empty for none.
+    :param percent: progress in percent.
+    """
+
+    task: TaskId
+    attempt: int
+    checkpoint: str
+    percent: float
+
+
+@attrs.frozen
+class EndedRun:
+    """A run that ended on a worker.
+
+    :param number: position in the worker's list of ends, from 1.
+    :param checkpoint: newest checkpoint, empty for none.
+    """
+
+    number: int
+    task: TaskId
+    attempt: int
+    end: RunEnd
+    checkpoint: str
+
+
+@attrs.frozen
+class WorkerReport:
+    """A worker's answer to a renewal of its lease.
+
+    :param born: Unix time of the worker's start in milliseconds.
+    :param clock: the worker's clock, in milliseconds.
+    """
+
+    born: int
+    clock: int
+    active: tuple[ActiveRun, ...]
+    ended: tuple[EndedRun, ...]
+
+
+class StartAnswer(StrEnum):
+    """A worker's answer to the start of a task."""
+
+    STARTED = "started"
+    DEPOSED = "deposed"
+    OUTDATED = "outdated"
+    EXPIRED = "expired"
+    NO_ROOM = "no_room"
+    UNHEALTHY = "unhealthy"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class StartOrder:
+    """An order to start a task.
+
+    :param deadline: worker clock in milliseconds until which its lease, and the order, hold.
+    """
+
+    task: TaskId
+    attempt: int
+    payload: str
+    checkpoint: str
+    deadline: int
--- /dev/null
+++ b/src/jaypier/jobs/placing.py
@@ -0,0 +1,131 @@
+"""Where tasks go: pure choices among workers, by what is free on them."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from jaypier.jobs.model import Resources, Step
+from jaypier.jobs.state import Worker
+
+FreeOf = Callable[[Worker], Resources]
+"""Returns what a step may take of a worker."""
+
+
+@attrs.frozen
+class Room:
+    """How many tasks of a step a worker can take."""
+
+    worker: Worker
+    tasks: int
+
+
+def allows(step: Step, worker: Worker) -> bool:
+    """Whether a worker has the label that a step asks for."""
+    return not step.label or step.label in worker.entry.labels
+
+
+def room_of(step: Step, worker: Worker, free: Resources, placed: int = 0) -> int:
+    """Return how many tasks of a step fit on a worker.
+
+    :param free: what may be taken of the worker.
+    :param placed: tasks of the step that are on it.
+    """
+    if not allows(step, worker):
+        return 0
+    copies = step.demand.copies_within(free)
+    if step.max_per_worker:
+        copies = min(copies, step.max_per_worker - placed)
+    return max(0, copies)
+
+
+def rooms(
+    step: Step, workers: Iterable[Worker], free_of: FreeOf, placed: Counter[str] | None = None
+) -> list[Room]:
+    """Return the workers with room for a step, the best fit first.
+
+    Workers with the fewest free accelerators come first, so that whole workers stay free for
+    wide gangs; ties are broken by free processors.
+    """
+    placed = placed or Counter()
+    found = [
+        Room(worker, room_of(step, worker, free_of(worker), placed[worker.id]))
+        for worker in workers
+    ]
+    near = step.data_rack
+
+    def tightness(room: Room) -> tuple:
+        free = free_of(room.worker)
+        is_far = bool(near) and room.worker.entry.rack != near
+        return (is_far, free.accelerators, free.processor_millis, room.worker.id)
+
+    return sorted((room for room in found if room.tasks > 0), key=tightness)
+
+
+def fill(found: Sequence[Room], count: int) -> list[Worker]:
+    """Return a worker for each of ``count`` tasks, or for as many as fit."""
+    chosen: list[Worker] = []
+    for room in found:
+        chosen += [room.worker] * min(room.tasks, count - len(chosen))
+        if len(chosen) == count:
+            break
+    return chosen
+
+
+def fill_widest(found: Sequence[Room], count: int) -> list[Worker]:
+    """Return workers for ``count`` tasks on as few workers as possible, or an empty list."""
+    if sum(room.tasks for room in found) < count:
+        return []
+    snug = [room for room in found if room.tasks >= count]
+    if snug:
+        return [snug[0].worker] * count
+    return fill(sorted(found, key=lambda room: -room.tasks), count)
+
+
+def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
+    """Return the workers of each rack."""
+    racks: dict[str, list[Worker]] = defaultdict(list)
+    for worker in workers:
+        racks[worker.entry.rack].append(worker)
+    return racks
+
+
+def place_gang(
+    step: Step, workers: Sequence[Worker], free_of: FreeOf, all_workers: Sequence[Worker]
+) -> list[Worker]:
+    """Return a worker for each task of a gang, or an empty list when it does not fit now.
+
+    A rack-local gang goes to the rack on which it leaves the least room for another of its
+    kind. It goes to several racks only if no rack could hold it even when it is empty.
+
+    :param all_workers: every worker that may come into question, for that last check.
+    """
+    found = rooms(step, workers, free_of)
+    if not step.is_rack_local:
+        return fill_widest(found, step.count)
+    racks: dict[str, list[Room]] = defaultdict(list)
+    for room in found:
+        racks[room.worker.entry.rack].append(room)
+    fitting = [
+        (sum(room.tasks for room in rooms_of_rack), rack)
+        for rack, rooms_of_rack in racks.items()
+        if sum(room.tasks for room in rooms_of_rack) >= step.count
+    ]
+    if fitting:
+        return fill_widest(racks[min(fitting)[1]], step.count)
+    if can_fit_one_rack(step, all_workers):
+        return []
+    widest_first = sorted(racks.values(), key=lambda each: -sum(room.tasks for room in each))
+    return (
+        fill([room for rack in widest_first for room in rack], step.count)
+        if (sum(room.tasks for room in found) >= step.count)
+        else []
+    )
+
+
+def can_fit_one_rack(step: Step, workers: Iterable[Worker]) -> bool:
+    """Whether some rack could hold the whole step if nothing else ran on it."""
+    return any(
+        sum(room_of(step, worker, worker.entry.capacity) for worker in rack) >= step.count
+        for rack in by_rack(workers).values()
+    )
--- /dev/null
+++ b/src/jaypier/jobs/planning.py
@@ -0,0 +1,321 @@
+"""What starts next, and what gives way for it: decisions for times when not all fits.
+
+Accelerators are the scarce resource on the heaviest days: a third more is asked for than there
+is, in bursts twice as much. Jobs are therefore ordered by worth for each core-second that is
+left, and urgent jobs within their team's guarantee go first and may stop others.
+"""
+
+from collections import Counter, defaultdict
+
+import attrs
+
+from jaypier.jobs.board import JobBoard
+from jaypier.jobs.model import URGENT_PRIORITY, JobStatus, Resources
+from jaypier.jobs.placing import FreeOf, by_rack, fill, place_gang, room_of, rooms
+from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, core_equivalent
+
+PRIORITY_WEIGHTS = (4.0, 3.0, 1.0)
+"""Worth of a job by its priority, from the users' sheets; later priorities count as the last."""
+
+LATE_SHARE = 0.25
+"""Worth of a job after its objective against that within it, from the users' sheets."""
+
+LATE_MULTIPLE = 3.0
+"""Multiple of its objective after which a job is of no more worth, from the users' rules."""
+
+HOPELESS_SHARE = 0.01
+"""Worth of a job that comes too late for its caller: it still runs where there is room."""
+
+RESERVATION_SECONDS = 2.0
+"""Time for which freed capacity is kept for the job it was freed for: a stop and two reports."""
+
+
+@attrs.define(eq=False)
+class Reservation:
+    """Capacity that is being freed for an urgent step."""
+
+    step: StepState
+    amounts: dict[str, Resources]
+    expires_at: float
+
+
+@attrs.frozen
+class Plan:
+    """Decisions of one pass.
+
+    :param starts: runs to start; their capacity is taken.
+    :param stops: runs to stop, for jobs that go before theirs.
+    :param blocked: jobs with tasks that could start but do not fit now.
+    """
+
+    starts: list[Run]
+    stops: list[Run]
+    blocked: int
+
+
+class Planner:
+    """Decides about starts on a board.
+
+    :param board: jobs, workers and runs.
+    """
+
+    def __init__(self, board: JobBoard) -> None:
+        self.board = board
+        self.guarantees: dict[str, int] = {}
+        self.reservations: list[Reservation] = []
+        self.mean_work: dict[str, tuple[int, float]] = {}
+
+    # Worth
+
+    def note_job(self, state: JobState) -> None:
+        """Take a new job into the mean work of its queue."""
+        count, mean = self.mean_work.get(state.job.queue, (0, 0.0))
+        work = state.remaining_work()
+        self.mean_work[state.job.queue] = (count + 1, mean + (work - mean) / (count + 1))
+
+    def score(self, state: JobState, now: float, wall: float) -> float:
+        """Return the worth of finishing a job for each core-second that it still needs."""
+        job = state.job
+        _, mean = self.mean_work.get(job.queue, (0, 0.0))
+        whole = sum(
+            each.step.count * each.step.estimated_seconds * core_equivalent(each.step.demand)
+            for each in state.steps
+        )
+        size = min(4.0, 0.3 + 0.7 * whole / mean) if mean > 0 else 1.0
+        weight = PRIORITY_WEIGHTS[min(job.priority, len(PRIORITY_WEIGHTS) - 1)]
+        age = wall - job.submitted_at
+        end = age + state.remaining_chain()
+        objective = job.objective_seconds
+        share = 1.0
+        if end > objective:
+            share = LATE_SHARE if end <= LATE_MULTIPLE * objective else HOPELESS_SHARE
+        return weight * size * share / max(1.0, state.remaining_work())
+
+    # Passes
+
+    def plan(self, now: float, wall: float) -> Plan:
+        """Decide what starts and what stops now.
+
+        :param now: local time in seconds.
+        :param wall: Unix time in seconds.
+        """
+        self.reservations = [
+            each
+            for each in self.reservations
+            if each.expires_at > now and each.step.is_startable and each.step.waiting
+        ]
+        starts: list[Run] = []
+        stops: list[Run] = []
+        blocked = 0
+        workers = self.usable_workers(now)
+        if not workers:
+            return Plan([], [], len(self.board.jobs))
+        refused: set[tuple] = set()
+        for state in self.order(now, wall):
+            for step in state.steps:
+                if not step.is_startable or not step.waiting:
+                    continue
+                signature = (step.step.demand, step.step.label, step.step.max_per_worker)
+                is_single = not step.step.is_gang
+                is_urgent = state.job.priority == URGENT_PRIORITY
+                if is_single and not is_urgent and signature in refused:
+                    blocked += 1
+                    continue
+                begun = self.place(step, workers, now)
+                starts += begun
+                if step.waiting:
+                    blocked += 1
+                    if is_urgent and not begun:
+                        stops += self.make_room(step, workers, now)
+                    elif is_single and not step.step.max_per_worker:
+                        refused.add(signature)
+        return Plan(starts, stops, blocked)
+
+    def order(self, now: float, wall: float) -> list[JobState]:
+        """Return the jobs that may start tasks, the first to go first.
+
+        Urgent jobs within their team's guarantee come first, those of the team with the
+        smallest guarantee before others; then all others by worth for their work.
+        """
+        is_settled = not self.board.missing_workers
+        waiting = [
+            state
+            for state in self.board.jobs.values()
+            if not state.status.is_final
+            and state.not_before <= now
+            and (is_settled or not state.is_recovered)
+        ]
+        used = self.urgent_use()
+        covered: set[str] = set()
+        urgent = [state for state in waiting if state.job.priority == URGENT_PRIORITY]
+        for state in sorted(urgent, key=lambda each: (each.job.submitted_at, each.job.id)):
+            if not any(step.waiting for step in state.steps):
+                continue
+            team = state.job.team
+            need = sum(
+                step.step.demand.accelerators * len(step.waiting)
+                for step in state.steps
+                if step.is_startable
+            )
+            if used[team] + need <= self.guarantees.get(team, 0):
+                used[team] += need
+                covered.add(state.job.id)
+
+        def rank(state: JobState) -> tuple:
+            job = state.job
+            if job.id in covered:
+                return (0, self.guarantees[job.team], job.submitted_at, job.id)
+            return (1, -self.score(state, now, wall), job.submitted_at, job.id)
+
+        return sorted(waiting, key=rank)
+
+    def urgent_use(self) -> Counter[str]:
+        """Return the accelerators that each team's urgent jobs hold."""
+        used: Counter[str] = Counter()
+        for state in self.board.jobs.values():
+            if state.job.priority == URGENT_PRIORITY:
+                used[state.job.team] += sum(run.step.step.demand.accelerators for run in state.runs)
+        return used
+
+    def usable_workers(self, now: float) -> list[Worker]:
+        """Return the workers that take new tasks, those under suspicion only if nothing else is."""
+        usable = [
+            worker
+            for worker in self.board.workers.values()
+            if worker.is_known
+            and worker.is_listed
+            and worker.entry.is_ready
+            and not worker.is_unreachable
+            and worker.entry.data_centre not in self.board.evacuated
+        ]
+        sound = [worker for worker in usable if worker.avoid_until <= now]
+        return sound or usable
+
+    def free_for(self, step: StepState) -> FreeOf:
+        """Return what a step may take of each worker: free and not reserved for another."""
+        reserved: dict[str, Resources] = defaultdict(Resources)
+        for reservation in self.reservations:
+            if reservation.step is not step:
+                for worker_id, amount in reservation.amounts.items():
+                    reserved[worker_id] = reserved[worker_id] + amount
+        return lambda worker: (
+            worker.free - reserved[worker.id] if worker.id in reserved else worker.free
+        )
+
+    def place(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
+        """Assign the waiting tasks of a step to workers, a gang whole or not at all."""
+        free_of = self.free_for(step)
+        candidates = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        if step.step.is_gang:
+            failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
+            untried = [worker for worker in candidates if worker.id not in failed_on]
+            chosen = place_gang(step.step, untried, free_of, candidates) or (
+                place_gang(step.step, candidates, free_of, candidates) if failed_on else []
+            )
+            if not chosen:
+                return []
+            attempt = self.board.next_attempt(step.job)
+            return [
+                self.board.start_run(step, task, worker, attempt, now)
+                for task, worker in zip(step.tasks, chosen, strict=True)
+            ]
+        return self.place_singles(step, candidates, free_of, now)
+
+    def place_singles(
+        self, step: StepState, candidates: list[Worker], free_of: FreeOf, now: float
+    ) -> list[Run]:
+        """Assign the waiting tasks of a step that work alone."""
+        fresh = [task for task in step.waiting if not task.failed_on]
+        chosen = fill(rooms(step.step, candidates, free_of, self.placed(step)), len(fresh))
+        begun = [
+            self.begin(step, task, worker, now) for task, worker in zip(fresh, chosen, strict=False)
+        ]
+        for task in [task for task in step.waiting if task.failed_on]:
+            untried = [worker for worker in candidates if worker.id not in task.failed_on]
+            found = rooms(step.step, untried or candidates, free_of, self.placed(step))
+            begun += [self.begin(step, task, room.worker, now) for room in found[:1]]
+        return begun
+
+    def begin(self, step: StepState, task: TaskState, worker: Worker, now: float) -> Run:
+        """Assign one task that works alone."""
+        return self.board.start_run(step, task, worker, self.board.next_attempt(step.job), now)
+
+    def placed(self, step: StepState) -> Counter[str]:
+        """Return the number of a step's tasks on each worker."""
+        return Counter(run.worker.id for run in step.runs)
+
+    # Preemption
+
+    def make_room(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
+        """Stop runs of lower priority so that an urgent step fits; return them."""
+        if any(each.step is step for each in self.reservations):
+            return []
+        free_of = self.free_for(step)
+        candidates = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        groups = by_rack(candidates).values() if step.step.is_rack_local else [candidates]
+        options = [self.cheapest_victims(step, list(group), free_of, now) for group in groups]
+        options = [option for option in options if option is not None]
+        if not options:
+            return []
+        cost, victims, amounts = min(options, key=lambda option: option[0])
+        self.reservations.append(Reservation(step, amounts, now + RESERVATION_SECONDS))
+        whole = {
+            each for run in victims for each in (run.step.runs if run.step.step.is_gang else [run])
+        }
+        return [run for run in whole if self.board.mark_stopping(run)]
+
+    def cheapest_victims(self, step: StepState, workers: list[Worker], free_of, now: float):
+        """Return cost, runs to stop and capacity to reserve so that a step fits, or ``None``."""
+        need = len(step.waiting)
+        demand = step.step.demand
+        offers = []
+        for worker in workers:
+            free = free_of(worker)
+            copies = room_of(step.step, worker, free)
+            offers += [(0.0, worker, []) for _ in range(copies)]
+            victims = sorted(
+                (run for run in worker.runs.values() if self.may_stop(run, step)),
+                key=lambda run: (self.loss(run, now), str(run.task)),
+            )
+            taken: list[Run] = []
+            for run in victims:
+                free = free + run.step.step.demand
+                taken.append(run)
+                more = room_of(step.step, worker, free)
+                if more > copies:
+                    cost = sum(self.loss(each, now) for each in taken) / (more - copies)
+                    offers += [
+                        (cost, worker, taken if number == 0 else [])
+                        for number in range(more - copies)
+                    ]
+                    copies, taken = more, []
+        if len(offers) < need:
+            return None
+        offers.sort(key=lambda offer: offer[0])
+        chosen = offers[:need]
+        victims = [run for _, _, runs in chosen for run in runs]
+        amounts: dict[str, Resources] = defaultdict(Resources)
+        for _, worker, _ in chosen:
+            amounts[worker.id] = amounts[worker.id] + demand
+        return sum(offer[0] for offer in chosen), victims, dict(amounts)
+
+    def may_stop(self, run: Run, step: StepState) -> bool:
+        """Whether a run gives way to a step, or is on its way out already."""
+        return run.is_stopping or run.step.job.job.priority > step.job.job.priority
+
+    def loss(self, run: Run, now: float) -> float:
+        """Return the core-seconds that are lost if a run is stopped."""
+        if run.is_stopping:
+            return 0.0
+        runs = run.step.runs if run.step.step.is_gang else [run]
+        return sum(each.unsaved_cost(now) for each in runs) + 1.0
+
+    # Figures
+
+    def pending(self) -> Counter[str]:
+        """Return the number of jobs of each queue of which no task has started."""
+        return Counter(
+            state.job.queue
+            for state in self.board.jobs.values()
+            if state.status is JobStatus.QUEUED
+        )
--- /dev/null
+++ b/src/jaypier/jobs/progress.py
@@ -0,0 +1,89 @@
+"""What is kept of a job's progress, so that a new leader goes on where the last one stopped."""
+
+import attrs
+
+from jaypier.jobs.model import Job, JobStatus
+from jaypier.jobs.state import JobState, new_job_state
+
+
+@attrs.frozen
+class StepProgress:
+    """Progress of one step.
+
+    :param is_done: whether all tasks have ended well; the lists are empty then.
+    :param done: numbers of the tasks that have ended well.
+    :param failures: failed runs of each task that has any.
+    :param failed_attempts: attempts of a gang in which a task failed.
+    :param checkpoints: checkpoint of each unfinished task that has one.
+    """
+
+    is_done: bool = False
+    done: list[int] = attrs.field(factory=list)
+    failures: dict[int, int] = attrs.field(factory=dict)
+    failed_attempts: list[int] = attrs.field(factory=list)
+    checkpoints: dict[int, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobProgress:
+    """Progress of a job.
+
+    :param queue: host and path prefix under which it was handed in.
+    :param attempt: highest number of a start that was recorded.
+    :param ended_at: Unix time in seconds of its end, 0 before.
+    """
+
+    queue: str
+    team: str
+    status: JobStatus
+    attempt: int = 0
+    steps: list[StepProgress] = attrs.field(factory=list)
+    ended_at: float = 0.0
+
+
+def record_progress(state: JobState, wall: float) -> JobProgress:
+    """Return what to keep of a job.
+
+    :param wall: Unix time in seconds.
+    """
+    job, status = state.job, state.status
+    if status.is_final:
+        return JobProgress(job.queue, job.team, status, state.attempt, [], wall)
+    steps = [
+        (
+            StepProgress(is_done=True)
+            if step.is_done
+            else StepProgress(
+                done=[task.id.index for task in step.tasks if task.is_done],
+                failures={task.id.index: task.failures for task in step.tasks if task.failures},
+                failed_attempts=sorted(step.failed_attempts),
+                checkpoints={
+                    task.id.index: task.checkpoint
+                    for task in step.tasks
+                    if task.checkpoint and not task.is_done
+                },
+            )
+        )
+        for step in state.steps
+    ]
+    return JobProgress(job.queue, job.team, status, state.attempt, steps)
+
+
+def restore_job(job: Job, progress: JobProgress | None) -> JobState:
+    """Rebuild the state of a job that an earlier leader may have started."""
+    state = new_job_state(job)
+    state.is_recovered = True
+    if progress is None:
+        return state
+    state.status = progress.status
+    state.attempt = progress.attempt
+    state.has_started = progress.status is not JobStatus.QUEUED
+    for step, kept in zip(state.steps, progress.steps, strict=False):
+        step.failed_attempts = set(kept.failed_attempts)
+        done = set(kept.done)
+        for task in step.tasks:
+            index = task.id.index
+            task.is_done = kept.is_done or index in done
+            task.failures = kept.failures.get(index, 0)
+            task.checkpoint = kept.checkpoints.get(index, "")
+    return state
--- /dev/null
+++ b/src/jaypier/jobs/state.py
@@ -0,0 +1,230 @@
+"""State that scheduling decisions are made on."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from jaypier.jobs.model import Job, JobStatus, Resources, Step, TaskId, WorkerEntry
+
+ACCELERATOR_CORES = 8
+"""Processor cores that one accelerator counts as, in the users' rules on wasted work."""
+
+
+NEVER = 1 << 62
+"""A worker's clock in milliseconds that is not reached: the order has not been sent yet."""
+
+
+@attrs.define(eq=False)
+class Run:
+    """One start of a task on a worker.
+
+    :param started_at: local time of its order, in seconds.
+    :param order_deadline: worker clock in milliseconds after which the order has no effect.
+    :param settled_at: local time since when the worker's reports are complete about it.
+    :param is_confirmed: whether the worker holds it.
+    :param is_stopping: whether it was told to stop.
+    :param percent: newest reported progress.
+    :param progressed_at: local time at which its progress was last seen to grow.
+    """
+
+    task: TaskId
+    attempt: int
+    worker: "Worker"
+    step: "StepState"
+    started_at: float
+    order_deadline: int = NEVER
+    settled_at: float = math.inf
+    is_confirmed: bool = False
+    is_stopping: bool = False
+    percent: float = 0.0
+    progressed_at: float = math.inf
+    checkpointed_at: float = 0.0
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """Identity of the run."""
+        return self.task, self.attempt
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the estimated time to its end."""
+        estimate = self.step.step.estimated_seconds
+        return max(0.1, estimate * (1 - self.percent / 100) - max(0.0, now - self.progressed_at))
+
+    def unsaved_cost(self, now: float) -> float:
+        """Return the core-seconds of work that stopping it would lose."""
+        since = max(self.started_at, self.checkpointed_at)
+        return max(0.0, now - since) * core_equivalent(self.step.step.demand)
+
+
+@attrs.define(eq=False)
+class TaskState:
+    """One task of a step.
+
+    :param checkpoint: newest checkpoint that is known, empty for none.
+    :param failed_on: workers on which it failed.
+    """
+
+    id: TaskId
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    failed_on: set[str] = attrs.field(factory=set)
+    run: Run | None = None
+
+
+@attrs.define(eq=False)
+class StepState:
+    """Progress of one step of a job.
+
+    :param failed_attempts: attempts of a gang in which a task failed.
+    :param is_tearing_down: whether the rest of a gang's present attempt is being stopped.
+    """
+
+    job: "JobState"
+    number: int
+    step: Step
+    tasks: list[TaskState]
+    failed_attempts: set[int] = attrs.field(factory=set)
+    is_tearing_down: bool = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all of its tasks have ended well."""
+        return all(task.is_done for task in self.tasks)
+
+    @property
+    def waiting(self) -> list[TaskState]:
+        """Tasks that have neither ended well nor been placed."""
+        return [task for task in self.tasks if not task.is_done and task.run is None]
+
+    @property
+    def runs(self) -> list[Run]:
+        """Runs of its tasks that hold capacity."""
+        return [task.run for task in self.tasks if task.run is not None]
+
+    @property
+    def is_startable(self) -> bool:
+        """Whether tasks of it may be placed, as far as its job is concerned."""
+        if self.step.is_gang and (self.is_tearing_down or self.runs):
+            return False
+        return all(self.job.steps[number].is_done for number in self.step.after)
+
+
+@attrs.define(eq=False)
+class JobState:
+    """Progress of a job.
+
+    :param attempt: highest number of a start of any of its tasks.
+    :param not_before: local time before which none of its tasks is started again.
+    :param is_recovered: whether it was accepted before the present leader.
+    :param has_started: whether a task of it was ever started.
+    """
+
+    job: Job
+    steps: list[StepState] = attrs.field(factory=list)
+    status: JobStatus = JobStatus.QUEUED
+    attempt: int = 0
+    not_before: float = -math.inf
+    is_recovered: bool = False
+    has_started: bool = False
+    ended_at: float = math.inf
+
+    @property
+    def runs(self) -> Iterator[Run]:
+        """Runs of all of its tasks."""
+        return (run for step in self.steps for run in step.runs)
+
+    def remaining_work(self) -> float:
+        """Return the estimated core-seconds of the tasks that have not ended."""
+        return sum(
+            core_equivalent(step.step.demand)
+            * step.step.estimated_seconds
+            * sum(not task.is_done for task in step.tasks)
+            for step in self.steps
+        )
+
+    def remaining_chain(self) -> float:
+        """Return the estimated duration of the longest chain of steps that are left."""
+        ends: list[float] = []
+        for step in self.steps:
+            own = 0.0 if step.is_done else step.step.estimated_seconds
+            ends.append(own + max((ends[number] for number in step.step.after), default=0.0))
+        return max(ends, default=0.0)
+
+
+@attrs.define(eq=False)
+class Worker:
+    """One worker.
+
+    :param is_listed: whether the platform lists it.
+    :param is_known: whether it has reported to the present leader.
+    :param born: start of the process that reported last, in Unix milliseconds.
+    :param clock: its clock in its newest report, in milliseconds, read at ``clock_at``.
+    :param heard_at: local time of the newest report, ``-inf`` before the first.
+    :param lease_until: local time after which nothing runs on it unless it is heard.
+    :param processed: number of the last end that decisions know of.
+    :param durable: number of the last end that the store knows of.
+    :param failures: failed runs since the last good one.
+    :param avoid_until: local time until which others are preferred.
+    """
+
+    entry: WorkerEntry
+    is_listed: bool = True
+    is_known: bool = False
+    born: int = 0
+    clock: int = 0
+    clock_at: float = 0.0
+    heard_at: float = -math.inf
+    lease_until: float = -math.inf
+    processed: int = 0
+    durable: int = 0
+    failures: int = 0
+    avoid_until: float = -math.inf
+    is_unreachable: bool = False
+    used: Resources = attrs.field(factory=Resources)
+    runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Identity of the worker."""
+        return self.entry.id
+
+    @property
+    def free(self) -> Resources:
+        """What no run holds."""
+        return self.entry.capacity - self.used
+
+    def clock_now(self, now: float) -> int:
+        """Return the worker's estimated clock in milliseconds."""
+        return self.clock + int((now - self.clock_at) * 1000)
+
+    def hold(self, run: Run) -> None:
+        """Count a run's demand."""
+        self.runs[run.key] = run
+        self.used = self.used + run.step.step.demand
+
+    def release(self, run: Run) -> None:
+        """Free a run's demand."""
+        if self.runs.pop(run.key, None) is not None:
+            self.used = self.used - run.step.step.demand
+
+
+def core_equivalent(demand: Resources) -> float:
+    """Return how many cores a demand counts as."""
+    return demand.processor_millis / 1000 + ACCELERATOR_CORES * demand.accelerators
+
+
+def new_job_state(job: Job) -> JobState:
+    """Return the state of a job that has not begun."""
+    state = JobState(job)
+    state.steps = [
+        StepState(
+            state,
+            number,
+            step,
+            [TaskState(TaskId(job.id, 0, number, index)) for index in range(step.count)],
+        )
+        for number, step in enumerate(job.steps)
+    ]
+    return state
--- a/src/jaypier/platform/__init__.py
+++ b/src/jaypier/platform/__init__.py
@@ -1,8 +1,21 @@
 """Access to what the platform gives: the table service, the object store, the machine list."""
 
-from jaypier.platform.abstract import MachineList, ObjectStore, Platform, TableService
-from jaypier.platform.errors import ConditionFailed, PlatformError, PlatformUnavailable
+from jaypier.platform.abstract import (
+    FollowedTable,
+    MachineList,
+    ObjectStore,
+    Platform,
+    TableService,
+)
+from jaypier.platform.errors import (
+    ConditionFailed,
+    HistoryLost,
+    PlatformError,
+    PlatformRefused,
+    PlatformUnavailable,
+)
 from jaypier.platform.model import (
+    Changes,
     Condition,
     Machine,
     MachineKind,
@@ -14,8 +27,11 @@
 from jaypier.platform.registry import open_platform
 
 __all__ = [
+    "Changes",
     "Condition",
     "ConditionFailed",
+    "FollowedTable",
+    "HistoryLost",
     "Machine",
     "MachineKind",
     "MachineList",
@@ -23,6 +39,7 @@
     "ObjectStore",
     "Platform",
     "PlatformError",
+    "PlatformRefused",
     "PlatformUnavailable",
     "Put",
     "Row",
--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from jaypier.platform.model import Machine, Row, Transaction
+from jaypier.platform.model import Changes, Machine, Row, Transaction
 
 
 class TableService(ABC):
@@ -32,6 +32,38 @@
         """
 
 
+class FollowedTable(TableService):
+    """Rows whose changes can be followed; keys are ``"TABLE/NAME"``."""
+
+    @abstractmethod
+    async def snapshot(self, table: str) -> Changes:
+        """Return every row of a table, and the version from which to follow it.
+
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def follow(self, table: str, after: int, wait: float) -> Changes:
+        """Wait for rows of a table that changed after a version; deleted ones have no value.
+
+        :param wait: seconds to wait for a change.
+        :raises HistoryLost: when the store no longer has these changes.
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    @abstractmethod
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction whole and return the version of its rows.
+
+        :raises ConditionFailed: with the current rows; nothing was applied.
+        :raises PlatformUnavailable: when there is no answer.
+        """
+
+    async def transact(self, transaction: Transaction) -> None:
+        """Apply a transaction whole."""
+        await self.commit(transaction)
+
+
 class ObjectStore(ABC):
     """Named immutable byte strings."""
 
--- /dev/null
+++ b/src/jaypier/platform/callers.py
@@ -0,0 +1,165 @@
+"""What callers send and are told: the platform's bodies, headers and states of jobs."""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from jaypier.jobs.model import JobStatus, Resources, Step
+from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
+
+KEY_HEADER = b"api-key"
+DEADLINE_HEADER = b"deadline-ms"
+
+MAX_PAYLOAD_BYTES = 4000
+"""Longest text that a job passes to its tasks, as the callers' interface says."""
+
+MAX_STEPS = 1000
+"""Steps of one job at most, so that one call cannot fill a VM's memory."""
+
+MAX_TASKS = 20_000
+"""Tasks of one job at most: a little under all that run at the size jaypier is built towards."""
+
+STATES = {
+    JobStatus.QUEUED: "queued",
+    JobStatus.RUNNING: "in_progress",
+    JobStatus.COMPLETED: "completed",
+    JobStatus.FAILED: "failed",
+    JobStatus.CANCELLED: "cancelled",
+}
+
+UNSUPPORTED = (
+    "LongRunning",
+    "RepeatCount",
+    "FillCount",
+    "Image",
+    "TargetMs",
+    "DisruptionBudget",
+)
+"""Kinds of work that are not carried out yet; a job that asks for one is refused."""
+
+
+class BadRequest(ValueError):
+    """A caller's job cannot be read; the message names the value and what is expected."""
+
+
+def key_of(request: HttpRequest) -> str:
+    """Return the key that a call carries, empty for none."""
+    return request.header(KEY_HEADER).strip()
+
+
+def deadline_of(request: HttpRequest, default: float) -> float:
+    """Return the seconds that the caller waits for an answer."""
+    text = request.header(DEADLINE_HEADER).strip()
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return default
+    return min(seconds, default) if math.isfinite(seconds) and seconds > 0 else default
+
+
+def decode_job(body: bytes) -> tuple[str, tuple[Step, ...]]:
+    """Decode the payload and the steps of a job.
+
+    :raises BadRequest: naming the value that is wrong.
+    """
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise BadRequest(f"body is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise BadRequest("body must be an object with Spec and Phases")
+    _refuse_unsupported(value)
+    payload = value.get("Spec", "")
+    if not isinstance(payload, str) or len(payload.encode("utf-8", "replace")) > MAX_PAYLOAD_BYTES:
+        raise BadRequest(f"Spec must be a text of at most {MAX_PAYLOAD_BYTES} bytes")
+    steps = value.get("Phases")
+    if not isinstance(steps, list) or not 0 < len(steps) <= MAX_STEPS:
+        raise BadRequest(f"Phases must be a list of 1 to {MAX_STEPS} steps")
+    decoded = tuple(_decode_step(number, step) for number, step in enumerate(steps))
+    if sum(step.count for step in decoded) > MAX_TASKS:
+        raise BadRequest(f"the job has more than {MAX_TASKS} tasks; split it")
+    return payload, decoded
+
+
+def _refuse_unsupported(value: Mapping[str, Any]) -> None:
+    used = [name for name in UNSUPPORTED if value.get(name)]
+    if used:
+        raise BadRequest(f"{used[0]} is not supported")
+
+
+def _decode_step(number: int, value: Any) -> Step:
+    where = f"Phases[{number}]"
+    if not isinstance(value, dict):
+        raise BadRequest(f"{where} must be an object")
+    _refuse_unsupported(value)
+    after = value.get("After") or []
+    if not isinstance(after, list) or any(
+        type(each) is not int or not 0 <= each < number for each in after
+    ):
+        raise BadRequest(f"{where}.After must list numbers of earlier steps")
+    count = _number(value, "Count", where, 1, MAX_TASKS, default=1)
+    return Step(
+        count=count,
+        demand=Resources(
+            _number(value, "Cpu", where, 0, 1 << 40),
+            _number(value, "MemMb", where, 0, 1 << 40),
+            _number(value, "Gpu", where, 0, 1 << 20),
+        ),
+        estimated_seconds=_number(value, "EstimatedMs", where, 0, 1 << 40) / 1000,
+        after=tuple(after),
+        saves=_flag(value, "Checkpointing", where),
+        is_gang=_flag(value, "GangScheduled", where),
+        is_rack_local=_flag(value, "RackLocal", where),
+        label=_text(value, "Requirements", where),
+        data_rack=_text(value, "DataRack", where),
+        max_per_worker=_number(value, "AntiAffinity", where, 0, MAX_TASKS),
+    )
+
+
+def _number(
+    value: Mapping[str, Any], name: str, where: str, low: int, high: int, default: int = 0
+) -> int:
+    number = value.get(name, default)
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    if not is_number or not math.isfinite(number) or not low <= number <= high:
+        raise BadRequest(f"{where}.{name} is {number!r}; expected {low} to {high}")
+    return int(number)
+
+
+def _flag(value: Mapping[str, Any], name: str, where: str) -> bool:
+    flag = value.get(name, False)
+    if not isinstance(flag, bool):
+        raise BadRequest(f"{where}.{name} is {flag!r}; expected true or false")
+    return flag
+
+
+def _text(value: Mapping[str, Any], name: str, where: str) -> str:
+    text = value.get(name, "")
+    if isinstance(text, list) and len(text) == 1:
+        text = text[0]
+    if not isinstance(text, str):
+        raise BadRequest(f"{where}.{name} is {text!r}; expected a text")
+    return text
+
+
+def state_response(status: JobStatus) -> HttpResponse:
+    """Tell a caller the state of a job."""
+    return json_response(200, msgspec.json.encode({"State": STATES[status]}))
+
+
+def pending_response(count: int) -> HttpResponse:
+    """Tell a caller how many jobs of a queue have not begun."""
+    return json_response(200, msgspec.json.encode({"Pending": count}))
+
+
+def accepted_response() -> HttpResponse:
+    """Tell a caller that its job, or its wish to cancel one, is stored."""
+    return json_response(200, b"{}")
+
+
+def refusal(status: int, message: str, retry_after: int | None = None) -> HttpResponse:
+    """Refuse a call, with the seconds after which it may come again."""
+    headers = [] if retry_after is None else [(b"retry-after", str(retry_after).encode())]
+    return json_response(status, msgspec.json.encode({"Error": message}), headers)
--- a/src/jaypier/platform/errors.py
+++ b/src/jaypier/platform/errors.py
@@ -1,6 +1,9 @@
 """Errors of the platform layer."""
 
+from collections.abc import Sequence
+
 from jaypier.core.errors import JaypierError
+from jaypier.platform.model import Row
 
 
 class PlatformError(JaypierError):
@@ -11,11 +14,24 @@
     """A transaction was not applied because a row had another version.
 
     :param key: the first row whose condition failed.
+    :param current: the present rows that the conditions name, as far as they exist.
     """
 
-    def __init__(self, key: str) -> None:
+    def __init__(self, key: str, current: Sequence[Row] = ()) -> None:
         super().__init__(f"row {key!r} has changed; read it again")
         self.key = key
+        self.current = {row.key: row for row in current}
+
+
+class HistoryLost(PlatformError):
+    """The store no longer has the changes that were asked for; read the rows again."""
+
+    def __init__(self) -> None:
+        super().__init__("the store has dropped these changes; read the rows again")
+
+
+class PlatformRefused(PlatformError):
+    """The platform refused a call that is wrong in itself; repeating it does not help."""
 
 
 class PlatformUnavailable(PlatformError):
--- a/src/jaypier/platform/model.py
+++ b/src/jaypier/platform/model.py
@@ -22,6 +22,18 @@
     version: int
 
 
+@attrs.frozen
+class Changes:
+    """Rows of a table.
+
+    :param rows: in key order, or in the order of their versions; a deleted row has no value.
+    :param version: version of the store up to which these rows are complete.
+    """
+
+    rows: list[Row]
+    version: int
+
+
 @attrs.frozen
 class Condition:
     """A requirement on one row.
--- /dev/null
+++ b/src/jaypier/platform/operators.py
@@ -0,0 +1,93 @@
+"""What operators write to the store: the configuration and data centres out of service."""
+
+from typing import Any
+
+from jaypier.entry.configuration import (
+    Configuration,
+    Limits,
+    OperatorChanges,
+    OperatorSource,
+    Route,
+    Team,
+)
+from jaypier.platform.abstract import FollowedTable
+from jaypier.platform.model import Changes
+
+OPERATORS_TABLE = "op"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+
+DEFAULT_ATTEMPTS = 1
+DEFAULT_TIMEOUT_MS = 3000
+
+
+class StoreOperatorSource(OperatorSource):
+    """Operators' rows in the store.
+
+    :param table: the platform's store.
+    """
+
+    def __init__(self, table: FollowedTable) -> None:
+        self.table = table
+
+    async def snapshot(self) -> OperatorChanges:
+        """Return all that is in force."""
+        return decode_changes(await self.table.snapshot(OPERATORS_TABLE))
+
+    async def follow(self, after: int, wait: float) -> OperatorChanges:
+        """Wait for changes after a version."""
+        return decode_changes(await self.table.follow(OPERATORS_TABLE, after, wait))
+
+
+def decode_changes(changes: Changes) -> OperatorChanges:
+    """Decode operators' rows."""
+    configuration = None
+    evacuations: dict[str, bool] = {}
+    for row in changes.rows:
+        if row.key == CONFIGURATION_KEY and row.value is not None:
+            configuration = decode_configuration(row.value)
+        elif row.key.startswith(EVACUATION_PREFIX):
+            evacuations[row.key.removeprefix(EVACUATION_PREFIX)] = row.value is not None
+    return OperatorChanges(configuration, evacuations, changes.version)
+
+
+def decode_configuration(value: dict[str, Any]) -> Configuration:
+    """Decode a configuration, which the store has checked."""
+    return Configuration(
+        version=int(value["Version"]),
+        routes=tuple(_decode_route(route) for route in value.get("Routes", ())),
+        teams=tuple(
+            Team(
+                team["Name"],
+                frozenset(team.get("ApiKeys", ())),
+                int((team.get("Guaranteed") or {}).get("Gpu", 0)),
+            )
+            for team in value.get("Tenants", ())
+        ),
+        limits=_decode_limits(value.get("Limits", {})),
+    )
+
+
+def _decode_route(route: dict[str, Any]) -> Route:
+    return Route(
+        host=route["Host"],
+        prefix=route["PathPrefix"],
+        service=route["Service"],
+        priority=int(route.get("Priority", 0)),
+        max_attempts=int(route.get("MaxAttempts") or DEFAULT_ATTEMPTS),
+        slack_factor=float(route.get("SlackFactor") or 1.0),
+        target_seconds=float(route.get("TargetLatencyMs") or 0) / 1000,
+        timeout_seconds=float(route.get("TimeoutMs") or DEFAULT_TIMEOUT_MS) / 1000,
+        is_public=bool(route.get("Public", False)),
+        needs_advice=bool(route.get("Recommendation")),
+    )
+
+
+def _decode_limits(limits: dict[str, Any]) -> Limits:
+    default = Limits()
+    return Limits(
+        int(limits.get("MaxHeaderBytes") or default.header_bytes),
+        int(limits.get("MaxBodyBytes") or default.body_bytes),
+        float(limits.get("HeaderTimeoutMs") or default.header_seconds * 1000) / 1000,
+        float(limits.get("IdleTimeoutMs") or default.idle_seconds * 1000) / 1000,
+    )
--- /dev/null
+++ b/src/jaypier/platform/store.py
@@ -0,0 +1,182 @@
+"""The platform's metadata store, as the table service that jaypier keeps its rows in.
+
+A key ``"jobs/4f"`` is the row ``4f`` of the store's table ``jobs``; values are JSON.
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from jaypier.core.address import Address
+from jaypier.platform.abstract import FollowedTable
+from jaypier.platform.errors import (
+    ConditionFailed,
+    HistoryLost,
+    PlatformRefused,
+    PlatformUnavailable,
+)
+from jaypier.platform.model import Changes, Row, Transaction
+from jaypier.wire.client import ConnectionPool
+from jaypier.wire.errors import TransportError
+from jaypier.wire.messages import HttpRequest, HttpResponse
+
+CALL_SECONDS = 1.0
+"""Time to wait for an answer: 15 times the usual one under a load that slows the store."""
+
+FOLLOW_MARGIN_SECONDS = 0.5
+"""Time to wait for the answer of a long poll beyond its own waiting time."""
+
+MAX_ANSWER_BYTES = 8 << 20
+"""Largest answer that is read; the store's pages end at 1 MB of values, before base64."""
+
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class StoreTable(FollowedTable):
+    """Rows of the store over HTTP.
+
+    :param address: where the store listens.
+    :param timeout: seconds to wait for one answer.
+    """
+
+    def __init__(self, address: Address, timeout: float = CALL_SECONDS) -> None:
+        self.timeout = timeout
+        self.pool = ConnectionPool(address, max_body=MAX_ANSWER_BYTES)
+        self.calls = 0
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        self.pool.close()
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row, or ``None`` when it does not exist."""
+        table, name = split_key(key)
+        answer = await self.get("rows-get", self.timeout, Table=table, StartKey=name, Limit=1)
+        found = [_decode_row(row) for row in answer["rows"] if row["Key"] == name]
+        return found[0] if found else None
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return every row whose key starts with ``prefix``, in key order."""
+        table, start = split_key(prefix)
+        return [
+            row for row in (await self.read_from(table, start)).rows if row.key.startswith(prefix)
+        ]
+
+    async def snapshot(self, table: str) -> Changes:
+        """Return every row of a table, and the version from which to follow it."""
+        return await self.read_from(table, "")
+
+    async def read_from(self, table: str, start: str) -> Changes:
+        """Return the rows of a table from a name on, page by page.
+
+        The version is that of the first page, so a row that changed while later pages were
+        read is seen again by whoever follows the table.
+        """
+        pages = []
+        while True:
+            answer = await self.get("rows-get", self.timeout, Table=table, StartKey=start)
+            pages.append(answer)
+            if not answer.get("HasMore") or not answer["rows"]:
+                break
+            start = answer["rows"][-1]["Key"] + "\0"
+        rows = [_decode_row(row) for page in pages for row in page["rows"]]
+        return Changes(rows, pages[0]["RowVersion"])
+
+    async def follow(self, table: str, after: int, wait: float) -> Changes:
+        """Return the rows of a table that changed after a version."""
+        answer = await self.get(
+            "rows-feed",
+            wait + FOLLOW_MARGIN_SECONDS,
+            Table=table,
+            After=after,
+            WaitMs=int(wait * 1000),
+        )
+        return Changes([_decode_row(row) for row in answer["rows"]], answer["RowVersion"])
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction whole and return its version."""
+        expected = [
+            {**_name_row(each.key), "RowVersion": each.version} for each in transaction.conditions
+        ]
+        writes = [
+            {**_name_row(put.key), "Value": _encode_value(put.value)} for put in transaction.puts
+        ]
+        body = {
+            "Expect": expected,
+            "Write": writes,
+            "Remove": [_name_row(key) for key in transaction.deletes],
+        }
+        request = HttpRequest("POST", "/rows-tx", JSON_HEADERS, msgspec.json.encode(body))
+        response = await self.call(request, self.timeout)
+        if response.status == 412:
+            current = [_decode_row(row) for row in _decode_body(response).get("rows", ())]
+            raise ConditionFailed(transaction.conditions[0].key, current)
+        return _checked(response)["RowVersion"]
+
+    async def get(self, path: str, timeout: float, **parameters: Any) -> dict[str, Any]:
+        """Make a reading call and return its decoded answer."""
+        target = f"/{path}?{urlencode(parameters)}"
+        return _checked(await self.call(HttpRequest("GET", target), timeout))
+
+    async def call(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        """Make one call, turning errors of the transport into the platform's."""
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout + 0.1):
+                return await self.pool.exchange(request, timeout)
+        except TransportError as error:
+            raise PlatformUnavailable(f"store: {error}", effect_unknown=error.sent) from error
+        except TimeoutError as error:
+            raise PlatformUnavailable("store: no answer in time", effect_unknown=True) from error
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return the table and the name of a row in it."""
+    table, _, name = key.partition("/")
+    return table, name
+
+
+def _name_row(key: str) -> dict[str, str]:
+    table, name = split_key(key)
+    return {"Table": table, "part": "", "Key": name}
+
+
+def _encode_value(value: Any) -> str:
+    return base64.b64encode(msgspec.json.encode(value)).decode("ascii")
+
+
+def _decode_row(row: dict[str, Any]) -> Row:
+    """Decode one row; a value that is not JSON, or a deleted row, has the value ``None``."""
+    try:
+        value = None if row.get("Deleted") else json.loads(base64.b64decode(row["Value"]))
+    except (ValueError, TypeError, KeyError, RecursionError):
+        value = None
+    return Row(f"{row['Table']}/{row['Key']}", value, row["RowVersion"])
+
+
+def _decode_body(response: HttpResponse) -> dict[str, Any]:
+    try:
+        body = msgspec.json.decode(response.body)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailable(f"store: unreadable answer: {error}", True) from error
+    if not isinstance(body, dict):
+        raise PlatformUnavailable("store: the answer is not an object", True)
+    return body
+
+
+def _checked(response: HttpResponse) -> dict[str, Any]:
+    """Return the body of a successful answer."""
+    status = response.status
+    if status == 200:
+        return _decode_body(response)
+    if status == 410:
+        raise HistoryLost()
+    if status in (429, 503):
+        raise PlatformUnavailable(f"store: status {status}", effect_unknown=False)
+    if 400 <= status < 500:
+        raise PlatformRefused(f"store: status {status}: {response.body[:200]!r}")
+    raise PlatformUnavailable(f"store: status {status}", effect_unknown=True)
--- /dev/null
+++ b/src/jaypier/platform/workers.py
@@ -0,0 +1,222 @@
+"""Workers of the platform: how they register and how they take orders."""
+
+import json
+from typing import Any
+
+from jaypier.core.address import Address
+from jaypier.jobs.abstract import (
+    WorkerDeposedUs,
+    WorkerDirectory,
+    WorkerLink,
+    WorkerListing,
+    WorkerReplaced,
+    WorkerUnreachable,
+)
+from jaypier.jobs.model import (
+    ActiveRun,
+    EndedRun,
+    Resources,
+    RunEnd,
+    StartAnswer,
+    StartOrder,
+    TaskId,
+    WorkerEntry,
+    WorkerReport,
+)
+from jaypier.platform.abstract import FollowedTable
+from jaypier.platform.model import Changes, Row
+from jaypier.wire.client import ConnectionPool
+from jaypier.wire.errors import TransportError
+from jaypier.wire.messages import HttpRequest, HttpResponse
+
+WORKERS_TABLE = "servers"
+
+ORDER_SECONDS = 0.4
+"""Time to wait for the answer to an order: a hundred times a usual round trip."""
+
+POLL_MARGIN_SECONDS = 0.6
+"""Time to wait for a report beyond the worker's own waiting time."""
+
+MAX_IDLE_SECONDS = 30.0
+"""Age at which an idle connection to a worker is not used again; new ones are costly."""
+
+RUN_ENDS = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.EXPIRED,
+    "broken": RunEnd.PEER_ENDED,
+    "alone": RunEnd.PEERS_MISSING,
+}
+
+START_REFUSALS = {
+    "fence": StartAnswer.DEPOSED,
+    "old": StartAnswer.OUTDATED,
+    "late": StartAnswer.EXPIRED,
+    "room": StartAnswer.NO_ROOM,
+}
+
+
+class StoreWorkerDirectory(WorkerDirectory):
+    """Workers as they register in the store.
+
+    :param table: the platform's store.
+    """
+
+    def __init__(self, table: FollowedTable) -> None:
+        self.table = table
+
+    async def snapshot(self) -> WorkerListing:
+        """Return every registered worker."""
+        return _decode_listing(await self.table.snapshot(WORKERS_TABLE))
+
+    async def follow(self, after: int, wait: float) -> WorkerListing:
+        """Wait for entries that changed after a version."""
+        return _decode_listing(await self.table.follow(WORKERS_TABLE, after, wait))
+
+
+def _decode_listing(changes: Changes) -> WorkerListing:
+    entries = {_worker_id(row): decode_worker(row) for row in changes.rows}
+    return WorkerListing(entries, changes.version)
+
+
+def _worker_id(row: Row) -> str:
+    return row.key.partition("/")[2]
+
+
+def decode_worker(row: Row) -> WorkerEntry | None:
+    """Decode a worker's entry; ``None`` for one that names no worker to use."""
+    entry = row.value
+    try:
+        capacity, labels = entry["Capacity"], entry["Labels"]
+        state = entry["State"]
+        if state not in ("ready", "draining"):
+            return None
+        return WorkerEntry(
+            id=_worker_id(row),
+            service=_text(entry["Service"]),
+            address=Address.parse(_text(entry["Address"])),
+            data_centre=_text(entry["Zone"]),
+            rack=_text(labels[1]) if len(labels) > 1 else "",
+            labels=frozenset(_text(label) for label in labels),
+            capacity=Resources(
+                _amount(capacity["Cpu"]), _amount(capacity["MemMb"]), _amount(capacity["Gpu"])
+            ),
+            is_ready=state == "ready",
+            born=_amount(entry.get("born", 0)),
+            clock=_amount(entry.get("ClockMs", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a text, got {value!r}")
+    return value
+
+
+def _amount(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"expected a number, got {value!r}")
+    return int(value)
+
+
+class HttpWorkerLink(WorkerLink):
+    """Orders to one worker over HTTP.
+
+    :param worker_id: identity that the worker must have to obey.
+    """
+
+    def __init__(self, worker_id: str, address: Address) -> None:
+        self.pool = ConnectionPool(address, max_idle=MAX_IDLE_SECONDS)
+        self.headers = [
+            (b"content-type", b"application/json"),
+            (b"target-instance", worker_id.encode()),
+        ]
+
+    def close(self) -> None:
+        """Close the connections to the worker."""
+        self.pool.close()
+
+    async def renew(self, epoch: int, seen: int, deadline: int | None, wait: float) -> WorkerReport:
+        """Renew the lease of all that runs, and learn what runs and what has ended."""
+        body = {"FencingToken": epoch, "LastSeen": seen}
+        if deadline is not None:
+            body["DeadlineMs"] = deadline
+        if wait > 0:
+            body["WaitMs"] = int(wait * 1000)
+        response = await self.call("/hold", body, wait + POLL_MARGIN_SECONDS)
+        answer = _decode(response)
+        _check_refusal(response, answer)
+        try:
+            return _decode_report(answer)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise WorkerUnreachable(f"unreadable report: {error!r}") from error
+
+    async def start(self, epoch: int, order: StartOrder) -> StartAnswer:
+        """Start a task; repeating an order is harmless."""
+        body = {
+            "Task": str(order.task),
+            "Attempt": order.attempt,
+            "Spec": order.payload,
+            "DeadlineMs": order.deadline,
+            "FencingToken": epoch,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        response = await self.call("/run-start", body, ORDER_SECONDS)
+        if response.status == 200:
+            return StartAnswer.STARTED
+        if response.status in (429, 503):
+            return StartAnswer.UNHEALTHY
+        if response.status == 409:
+            reason = _decode(response).get("Reason")
+            return START_REFUSALS.get(reason, StartAnswer.REFUSED)
+        if 400 <= response.status < 500:
+            return StartAnswer.REFUSED
+        raise WorkerUnreachable(f"status {response.status}")
+
+    async def stop(self, epoch: int, task: TaskId, attempt: int) -> None:
+        """Stop a run, or make sure that it never starts."""
+        body = {"Task": str(task), "Attempt": attempt, "FencingToken": epoch}
+        response = await self.call("/run-stop", body, ORDER_SECONDS)
+        _check_refusal(response, _decode(response) if response.status == 409 else {})
+
+    async def call(self, path: str, body: dict[str, Any], timeout: float) -> HttpResponse:
+        """Make one call, turning errors of the transport into the worker's."""
+        request = HttpRequest("POST", path, self.headers, json.dumps(body).encode())
+        try:
+            return await self.pool.exchange(request, timeout)
+        except TransportError as error:
+            raise WorkerUnreachable(str(error)) from error
+
+
+def _decode(response: HttpResponse) -> dict[str, Any]:
+    try:
+        answer = json.loads(response.body) if response.body else {}
+    except ValueError as error:
+        raise WorkerUnreachable(f"unreadable answer: {error}") from error
+    return answer if isinstance(answer, dict) else {}
+
+
+def _check_refusal(response: HttpResponse, answer: dict[str, Any]) -> None:
+    if response.status == 200:
+        return
+    if response.status == 421:
+        raise WorkerReplaced("another worker answers at this address")
+    if response.status == 409 and answer.get("Reason") == "fence":
+        raise WorkerDeposedUs("the worker obeys a newer epoch")
+    raise WorkerUnreachable(f"status {response.status}: {response.body[:100]!r}")
+
+
+def _decode_report(answer: dict[str, Any]) -> WorkerReport:
+    active = tuple(
+        ActiveRun(TaskId.parse(row[0]), int(row[1]), row[2] or "", float(row[3]))
+        for row in answer["Active"]
+    )
+    ended = tuple(
+        EndedRun(int(row[0]), TaskId.parse(row[1]), int(row[2]), RUN_ENDS[row[3]], row[4] or "")
+        for row in answer["Finished"]
+    )
+    return WorkerReport(int(answer.get("born", 0)), int(answer["ClockMs"]), active, ended)
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -179,11 +179,18 @@
 
     :param address: the server's address.
     :param max_body: largest body in bytes that is read.
+    :param max_idle: age in seconds at which an idle connection is not used again.
     """
 
-    def __init__(self, address: Address, max_body: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        address: Address,
+        max_body: int = MAX_BODY_BYTES,
+        max_idle: float = MAX_IDLE_SECONDS,
+    ) -> None:
         self.address = address
         self.max_body = max_body
+        self.max_idle = max_idle
         self.idle: deque[ClientConnection] = deque()
 
     async def __aenter__(self) -> "ConnectionPool":
@@ -197,7 +204,7 @@
         now = asyncio.get_running_loop().time()
         while self.idle:
             connection = self.idle.pop()
-            if connection.is_reusable and now - connection.idle_since < MAX_IDLE_SECONDS:
+            if connection.is_reusable and now - connection.idle_since < self.max_idle:
                 return connection
             connection.close()
         return None
