Gangs hold workers, urgent arrivals have headroom, brief wait for unlisted workers

Change: a blocked gang holds the workers on which it fits soonest; accelerators for 1.5 s of urgent arrivals are kept free; workers without an entry are waited for 3 s. A task with checkpoints loses only its restore when it is stopped.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -136,7 +136,11 @@
                 StoreWorkerDirectory(self.table),
                 lambda entry: HttpWorkerLink(entry.id, entry.address),
                 ledger,
-                LeaderSettings(self.settings.bounds.lease, self.settings.bounds.status),
+                LeaderSettings(
+                    self.settings.bounds.lease,
+                    self.settings.bounds.restore,
+                    self.settings.bounds.status,
+                ),
                 self.clock,
                 time.time,
                 self.metrics,
--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -1,5 +1,6 @@
 """Book-keeping of jobs, workers and runs: pure, with time and events as arguments."""
 
+import itertools
 import math
 from collections.abc import Iterator
 
@@ -30,6 +31,9 @@
 RETRY_SECONDS = 0.3
 """Time before a refused start is tried again, a little over a worker's round trip."""
 
+ORPHAN_SECONDS = 1.5
+"""Time for which runs and ends of an unknown job are kept: its row may not have been read yet."""
+
 ATTEMPTS_PER_EPOCH = 64
 """Distance between the attempt numbers of two leaders, so that they never use the same one."""
 
@@ -43,6 +47,18 @@
     attempt: int
 
 
+@attrs.define
+class Orphan:
+    """Runs or ends of a job that is not known, started by an earlier leader.
+
+    :param since: local time at which a worker first spoke of it, in seconds.
+    :param workers: workers that spoke of it.
+    """
+
+    since: float
+    workers: set[str] = attrs.field(factory=set)
+
+
 class JobBoard:
     """Jobs, workers and what runs where.
 
@@ -58,17 +74,34 @@
         self.evacuated: frozenset[str] = frozenset()
         self.changed: set[str] = set()
         self.cancelled: set[str] = set()
+        self.orphans: dict[str, Orphan] = {}
 
     # Jobs
 
-    def add_job(self, job: Job) -> JobState | None:
-        """Take in an accepted job; return ``None`` when it is known."""
+    def add_job(self, job: Job, may_have_started: bool = False) -> JobState | None:
+        """Take in an accepted job; return ``None`` when it is known.
+
+        :param may_have_started: whether an earlier leader may have started it.
+        """
         if job.id in self.jobs:
             return None
         state = new_job_state(job)
+        orphan = self.orphans.pop(job.id, None)
+        state.is_recovered = may_have_started or orphan is not None
+        for worker_id in orphan.workers if orphan else ():
+            if worker_id in self.workers:
+                self.workers[worker_id].is_known = False
         self.insert(state)
         return state
 
+    def is_orphan(self, job_id: str, worker: Worker, now: float) -> bool:
+        """Whether a worker speaks of a job whose row may still be on its way."""
+        if job_id in self.jobs:
+            return False
+        orphan = self.orphans.setdefault(job_id, Orphan(now))
+        orphan.workers.add(worker.id)
+        return now - orphan.since < ORPHAN_SECONDS
+
     def insert(self, state: JobState) -> None:
         """Take in a job with its progress."""
         self.jobs[state.job.id] = state
@@ -209,14 +242,20 @@
         worker.heard_at = now
         worker.is_known = True
         worker.is_unreachable = False
-        new_ends = [end for end in report.ended if end.number > worker.processed]
+        new_ends = list(
+            itertools.takewhile(
+                lambda end: not self.is_orphan(end.task.job, worker, now),
+                (end for end in report.ended if end.number > worker.processed),
+            )
+        )
         for end in new_ends:
             self.take_end(worker, end, now)
             worker.processed = max(worker.processed, end.number)
         unknown = [
             UnknownRun(worker.id, each.task, each.attempt)
             for each in report.active
-            if not self.take_active(worker, each, sent_at, now)
+            if not self.is_orphan(each.task.job, worker, now)
+            and not self.take_active(worker, each, sent_at, now)
         ]
         active = {(each.task, each.attempt) for each in report.active}
         for run in list(worker.runs.values()):
@@ -237,7 +276,7 @@
         if active.percent > run.percent or run.progressed_at == math.inf:
             run.percent, run.progressed_at = active.percent, now
         if active.checkpoint:
-            self.keep_checkpoint(run, active.checkpoint, now)
+            self.keep_checkpoint(run, active.checkpoint)
         return True
 
     def adopt(self, worker: Worker, active: ActiveRun, now: float) -> Run | None:
@@ -258,11 +297,9 @@
         worker.lease_until = max(worker.lease_until, now + lease)
         return run
 
-    def keep_checkpoint(self, run: Run, checkpoint: str, now: float) -> None:
+    def keep_checkpoint(self, run: Run, checkpoint: str) -> None:
         """Keep the newest checkpoint of a run."""
         tasks = run.step.tasks if run.step.step.is_gang else [run.step.tasks[run.task.index]]
-        if tasks[0].checkpoint != checkpoint:
-            run.checkpointed_at = now
         for task in tasks:
             task.checkpoint = checkpoint
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -76,6 +76,9 @@
 ADOPTION_ALONE_SECONDS = 30.0
 """The same while less than half of the workers have reported to the new leader."""
 
+UNLISTED_SECONDS = 3.0
+"""The same for a worker without an entry: one that lives is listed again within about 2 s."""
+
 START_PATIENCE_SECONDS = 1.5
 """Time for which the start of a run is repeated: half of the time that a gang waits."""
 
@@ -93,10 +96,12 @@
     """What a leader has to know of the deployment.
 
     :param lease_seconds: lease of what runs on a worker.
+    :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param status_seconds: time for which callers may ask for an ended job.
     """
 
     lease_seconds: float
+    restore_seconds: float
     status_seconds: float
 
 
@@ -128,7 +133,7 @@
         self.metrics = metrics
         self.epoch = ledger.leadership.epoch
         self.board = JobBoard(self.epoch, settings.lease_seconds)
-        self.planner = Planner(self.board)
+        self.planner = Planner(self.board, settings.restore_seconds)
         self.sessions: dict[str, WorkerSession] = {}
         self.group: asyncio.TaskGroup | None = None
         self.decide = asyncio.Event()
@@ -179,7 +184,7 @@
         for job in changes.accepted:
             state = restore_job(job, decode_progress(kept.get(job.id)))
             self.board.insert(state)
-            self.planner.note_job(state)
+            self.planner.note_job(state, self.clock.now())
         self.jobs_version = jobs.version
         self.workers_version = listing.version
         self.take_listing(listing, is_whole=True)
@@ -233,14 +238,20 @@
         """Take in rows of the jobs table."""
         changes = decode_job_rows(rows, version)
         for job in changes.accepted:
-            state = self.board.add_job(job)
+            state = self.board.add_job(job, may_have_started=not self.has_adopted)
             if state is not None:
-                self.planner.note_job(state)
+                self.wake_missing()
+                self.planner.note_job(state, self.clock.now())
                 log.info(
                     "job taken in",
                     job=job.id,
                     priority=job.priority,
                     tasks=sum(step.count for step in job.steps),
+                    accelerators=max(
+                        step.count * step.demand.accelerators for step in job.steps
+                    ),
+                    chain_seconds=job.chain_seconds(),
+                    objective_seconds=job.objective_seconds,
                     version=version,
                 )
         for job_id in changes.cancelled:
@@ -252,6 +263,13 @@
         if rows:
             self.decide.set()
 
+    def wake_missing(self) -> None:
+        """Have workers asked at once that have to report again."""
+        for worker in self.board.missing_workers:
+            session = self.sessions.get(worker.id)
+            if session is not None:
+                session.kick.set()
+
     async def follow_workers(self) -> None:
         """Take in workers as they come, leave and go."""
         while True:
@@ -362,8 +380,9 @@
             is_minority = 2 * len(missing) >= len(self.board.workers)
             patience = ADOPTION_ALONE_SECONDS if is_minority else ADOPTION_SECONDS
             for worker in missing:
+                allowed = patience if worker.is_listed else UNLISTED_SECONDS
                 is_new = now - self.took_over_at > LIST_SECONDS and self.has_adopted
-                if is_new or now - self.took_over_at > patience:
+                if is_new or now - self.took_over_at > allowed:
                     worker.is_known = True
                     worker.is_unreachable = True
         if not self.has_adopted and not self.board.missing_workers:
@@ -644,7 +663,7 @@
         if worker.processed > worker.durable:
             await self.wait_for_kick(POLL_SECONDS)
             return
-        while not worker.runs and not self.has_ended:
+        while worker.is_known and not worker.runs and not self.has_ended:
             await self.wait_for_kick(IDLE_CHECK_SECONDS)
             if not leader.has_store:
                 return
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -5,13 +5,13 @@
 left, and urgent jobs within their team's guarantee go first and may stop others.
 """
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 
 import attrs
 
 from jaypier.jobs.board import JobBoard
 from jaypier.jobs.model import URGENT_PRIORITY, JobStatus, Resources
-from jaypier.jobs.placing import FreeOf, by_rack, fill, place_gang, room_of, rooms
+from jaypier.jobs.placing import FreeOf, by_rack, can_fit_one_rack, fill, place_gang, room_of, rooms
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, core_equivalent
 
 PRIORITY_WEIGHTS = (4.0, 3.0, 1.0)
@@ -26,6 +26,19 @@
 HOPELESS_SHARE = 0.01
 """Worth of a job that comes too late for its caller: it still runs where there is room."""
 
+HEADROOM_SECONDS = 1.5
+"""Urgent arrivals for which accelerators are kept free: stopping others takes about 1 s, which is
+most of the slack that an urgent job has."""
+
+HEADROOM_SHARE = 0.25
+"""Share of the accelerators that may be kept free for urgent jobs at most."""
+
+ARRIVALS_SECONDS = 12.0
+"""Time over which urgent arrivals are averaged: twice the usual length of a burst."""
+
+HELD_SHARE = 0.35
+"""Share of the workers that may be kept for gangs at a time; the rest serves what fits now."""
+
 RESERVATION_SECONDS = 2.0
 """Time for which freed capacity is kept for the job it was freed for: a stop and two reports."""
 
@@ -57,18 +70,26 @@
     """Decides about starts on a board.
 
     :param board: jobs, workers and runs.
+    :param restore_seconds: time that a worker needs to restore a checkpoint.
     """
 
-    def __init__(self, board: JobBoard) -> None:
+    def __init__(self, board: JobBoard, restore_seconds: float = 0.5) -> None:
         self.board = board
+        self.restore_seconds = restore_seconds
+        self.held: dict[str, float] = {}
+        self.urgent_only: set[str] = set()
+        self.urgent_arrivals: deque[tuple[float, int]] = deque()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
         self.mean_work: dict[str, tuple[int, float]] = {}
 
     # Worth
 
-    def note_job(self, state: JobState) -> None:
-        """Take a new job into the mean work of its queue."""
+    def note_job(self, state: JobState, now: float) -> None:
+        """Take a new job into the mean work of its queue and the rate of urgent arrivals."""
+        if state.job.priority == URGENT_PRIORITY and not state.status.is_final:
+            first = state.steps[0].step
+            self.urgent_arrivals.append((now, first.count * first.demand.accelerators))
         count, mean = self.mean_work.get(state.job.queue, (0, 0.0))
         work = state.remaining_work()
         self.mean_work[state.job.queue] = (count + 1, mean + (work - mean) / (count + 1))
@@ -110,6 +131,8 @@
         workers = self.usable_workers(now)
         if not workers:
             return Plan([], [], len(self.board.jobs))
+        self.held = {}
+        self.urgent_only = self.choose_headroom(workers, now)
         refused: set[tuple] = set()
         for state in self.order(now, wall):
             for step in state.steps:
@@ -127,8 +150,10 @@
                     blocked += 1
                     if is_urgent and not begun:
                         stops += self.make_room(step, workers, now)
-                    elif is_single and not step.step.max_per_worker:
+                    elif is_single and not step.step.max_per_worker and not self.held:
                         refused.add(signature)
+                    if not is_single:
+                        self.hold_workers(step, workers, now)
         return Plan(starts, stops, blocked)
 
     def order(self, now: float, wall: float) -> list[JobState]:
@@ -221,6 +246,91 @@
             ]
         return self.place_singles(step, candidates, free_of, now)
 
+    def choose_headroom(self, workers: list[Worker], now: float) -> set[str]:
+        """Return the workers that only urgent jobs may use now.
+
+        Their accelerators that no urgent job uses cover the urgent arrivals of the next moments.
+        They are the first in a fixed order by rack, so that they are adjacent and stay the same.
+        """
+        while self.urgent_arrivals and self.urgent_arrivals[0][0] < now - ARRIVALS_SECONDS:
+            self.urgent_arrivals.popleft()
+        arrived = sum(accelerators for _, accelerators in self.urgent_arrivals)
+        total = sum(worker.entry.capacity.accelerators for worker in workers)
+        wanted = min(arrived / ARRIVALS_SECONDS * HEADROOM_SECONDS, HEADROOM_SHARE * total)
+        chosen: set[str] = set()
+        for worker in sorted(workers, key=lambda each: (each.entry.rack, each.id)):
+            if wanted <= 0:
+                break
+            urgent = sum(
+                run.step.step.demand.accelerators
+                for run in worker.runs.values()
+                if run.step.job.job.priority == URGENT_PRIORITY
+            )
+            chosen.add(worker.id)
+            wanted -= worker.entry.capacity.accelerators - urgent
+        return chosen
+
+    def candidates(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
+        """Return the workers that a step may use.
+
+        Steps of other jobs than urgent ones leave out what is kept for these, unless they fit
+        nowhere else, and what is held for a gang that goes before them, unless they end in time.
+        """
+        usable = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        if step.job.job.priority == URGENT_PRIORITY:
+            return usable
+        open_to_all = [worker for worker in usable if worker.id not in self.urgent_only]
+        if self.fits_empty(step, open_to_all):
+            usable = open_to_all
+        end = now + step.step.estimated_seconds
+        return [worker for worker in usable if end <= self.held.get(worker.id, end)]
+
+    def fits_empty(self, step: StepState, workers: list[Worker]) -> bool:
+        """Whether a step could start on workers if nothing else ran on them."""
+        if not step.step.is_gang:
+            return any(room_of(step.step, each, each.entry.capacity) for each in workers)
+        if step.step.is_rack_local:
+            return can_fit_one_rack(step.step, workers)
+        room = sum(room_of(step.step, each, each.entry.capacity) for each in workers)
+        return room >= step.step.count
+
+    def hold_workers(self, step: StepState, workers: list[Worker], now: float) -> None:
+        """Keep the workers on which a waiting gang fits soonest free of longer work.
+
+        Without this, small tasks take each accelerator that comes free, and a gang that needs
+        many at once never starts while there is a backlog.
+        """
+        if len(self.held) >= HELD_SHARE * len(workers):
+            return
+        usable = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        is_local = step.step.is_rack_local and can_fit_one_rack(step.step, usable)
+        groups = by_rack(usable).values() if is_local else [usable]
+        options = [self.soonest_fit(step, group, now) for group in groups]
+        options = [option for option in options if option is not None]
+        if options:
+            seconds, names = min(options, key=lambda option: option[0])
+            self.held.update(dict.fromkeys(names, now + seconds))
+
+    def soonest_fit(self, step: StepState, group: list[Worker], now: float):
+        """Return when a gang fits on a group of workers, and on which, or ``None``."""
+        offers = []
+        for worker in group:
+            if worker.id in self.held:
+                continue
+            free = worker.free
+            copies = room_of(step.step, worker, free)
+            offers += [(0.0, worker.id)] * copies
+            ends = [(run.remaining_seconds(now), run) for run in worker.runs.values()]
+            for seconds, run in sorted(ends, key=lambda each: each[0]):
+                free = free + run.step.step.demand
+                more = room_of(step.step, worker, free)
+                offers += [(seconds, worker.id)] * (more - copies)
+                copies = max(copies, more)
+        if len(offers) < step.step.count:
+            return None
+        chosen = sorted(offers)[: step.step.count]
+        return chosen[-1][0], {worker_id for _, worker_id in chosen}
+
     def place_singles(
         self, step: StepState, candidates: list[Worker], free_of: FreeOf, now: float
     ) -> list[Run]:
@@ -308,7 +418,7 @@
         if run.is_stopping:
             return 0.0
         runs = run.step.runs if run.step.step.is_gang else [run]
-        return sum(each.unsaved_cost(now) for each in runs) + 1.0
+        return sum(each.unsaved_cost(now, self.restore_seconds) for each in runs) + 1.0
 
     # Figures
 
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -39,7 +39,6 @@
     is_stopping: bool = False
     percent: float = 0.0
     progressed_at: float = math.inf
-    checkpointed_at: float = 0.0
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -51,10 +50,17 @@
         estimate = self.step.step.estimated_seconds
         return max(0.1, estimate * (1 - self.percent / 100) - max(0.0, now - self.progressed_at))
 
-    def unsaved_cost(self, now: float) -> float:
-        """Return the core-seconds of work that stopping it would lose."""
-        since = max(self.started_at, self.checkpointed_at)
-        return max(0.0, now - since) * core_equivalent(self.step.step.demand)
+    def unsaved_cost(self, now: float, restore_seconds: float) -> float:
+        """Return the core-seconds that stopping it would lose.
+
+        A task that writes checkpoints writes one more when it is stopped, so it only loses the
+        time to restore it.
+        """
+        step = self.step.step
+        lost = max(0.0, now - self.started_at)
+        if step.saves:
+            lost = min(lost, restore_seconds)
+        return lost * core_equivalent(step.demand)
 
 
 @attrs.define(eq=False)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -170,3 +170,22 @@
                 await bench.wait_until(lambda job=job: bench.status(job) is JobStatus.COMPLETED, 60)
 
         play(scenario)
+
+
+class TestWorkersThatLeft:
+    def test_next_leader_waits_only_briefly_for_a_worker_that_is_gone(self):
+        # Seen on baridi-returns trouble-1: after all VMs had lost power, nothing started for 9.5 s,
+        # as a worker that had left shortly before was still recorded as at work.
+        async def scenario(bench):
+            await bench.wait_until(lambda: bench.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            gone = bench.cluster.workers["worker-02"]
+            await bench.kill(bench.leader_name)
+            gone.crash()
+            bench.cluster.unregister(gone)
+            await bench.wait_until(lambda: bench.leader_name is not None, 5)
+            job = make_job()
+            bench.cluster.submit(job)
+            await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 4)
+
+        play(scenario)
