Take-over by the store's clock; tasks leave workers on which they stand still

Cause: after all VMs had lost power the row of the last leader was waited for though the store's clock shows its silence; hung and slow workers kept their tasks, as only their progress shows their state.

--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -17,6 +17,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from jaypier.jobs.pace import judge_worker, sample_pace
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
 
 CLOCK_DRIFT = 1.03
@@ -262,6 +263,7 @@
             is_complete = sent_at > run.settled_at or report.clock > run.order_deadline
             if run.key not in active and is_complete:
                 self.end_run(run)
+        judge_worker(worker, now)
         return new_ends, unknown
 
     def take_active(self, worker: Worker, active: ActiveRun, sent_at: float, now: float) -> bool:
@@ -275,6 +277,7 @@
         run.settled_at = min(run.settled_at, sent_at)
         if active.percent > run.percent or run.progressed_at == math.inf:
             run.percent, run.progressed_at = active.percent, now
+        sample_pace(run, now)
         if active.checkpoint:
             self.keep_checkpoint(run, active.checkpoint)
         return True
--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -22,15 +22,12 @@
 LEADER_TABLE = "leader"
 LEADER_KEY = "leader/leader"
 
-RENEW_SECONDS = 0.8
+RENEW_SECONDS = 0.6
 """Time between two renewals by the leader."""
 
-TAKEOVER_SECONDS = 2.4
+TAKEOVER_SECONDS = 2.0
 """Silence of the leader after which others take over: two renewals lost, and a slow answer."""
 
-SPREAD_SECONDS = 0.4
-"""Spread of the followers' takeovers, so that one comes first."""
-
 RETRY_SECONDS = 0.25
 """Time before the store is asked again after it did not answer."""
 
@@ -44,11 +41,14 @@
     :param owner: incarnation of the daemon that leads, empty after it has left.
     :param epoch: grows with each change of the leader.
     :param renewals: grows with each renewal.
+    :param renewed_at: the store's clock at the last renewal, in seconds. By it, a daemon that has
+        just started knows at once of a leader that has been silent for too long.
     """
 
     owner: str
     epoch: int
     renewals: int = 0
+    renewed_at: float = 0.0
 
 
 class Election:
@@ -105,11 +105,16 @@
     @property
     def is_vacant(self) -> bool:
         """Whether nobody has renewed the row for too long, or its owner has left."""
-        silence = self.clock.now() - self.changed_at
+        silence = self.silence
         if self.leadership.owner == "":
             return silence >= self.handicap * self.rng.random()
         return silence >= TAKEOVER_SECONDS + self.handicap
 
+    @property
+    def silence(self) -> float:
+        """Seconds since the leader has renewed the row."""
+        return self.clock.now() - self.changed_at
+
     def take(self, row: Row) -> None:
         """Take in a new version of the row."""
         if row.version <= self.version or row.value is None:
@@ -118,12 +123,12 @@
         if leadership.epoch != self.leadership.epoch:
             log.info("leader seen", owner=leadership.owner, epoch=leadership.epoch)
         self.leadership, self.version = leadership, row.version
-        self.changed_at = self.clock.now()
+        age = max(0.0, self.table.store_time() - leadership.renewed_at)
+        self.changed_at = self.clock.now() - (age if leadership.owner else 0.0)
 
     async def follow(self) -> None:
         """Wait for a change of the row, or for the time to take over."""
-        silence = self.clock.now() - self.changed_at
-        wait = TAKEOVER_SECONDS + self.handicap - silence
+        wait = TAKEOVER_SECONDS + self.handicap - self.silence
         if self.leadership.owner == "":
             wait = 0.02
         wait = min(max(wait, 0.02), TAKEOVER_SECONDS)
@@ -134,7 +139,9 @@
 
     async def claim(self) -> bool:
         """Try to become the leader."""
-        claim = Leadership(self.owner, self.leadership.epoch + 1)
+        claim = Leadership(
+            self.owner, self.leadership.epoch + 1, renewed_at=self.table.store_time()
+        )
         transaction = Transaction(
             [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(claim))]
         )
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -23,6 +23,7 @@
 from jaypier.jobs.election import RENEW_SECONDS
 from jaypier.jobs.ledger import MAX_ROWS, Deposed, LeaderLedger
 from jaypier.jobs.model import StartAnswer, StartOrder, TaskId, WorkerEntry
+from jaypier.jobs.pace import runs_to_move
 from jaypier.jobs.planning import Planner
 from jaypier.jobs.progress import record_progress, restore_job
 from jaypier.jobs.rows import (
@@ -45,8 +46,8 @@
 LIST_SECONDS = 0.4
 """Time between two readings of changed workers; a leaving one must get no task after 2 s."""
 
-POLL_SECONDS = 2.0
-"""Longest wait for an end on a worker, as long as workers allow; a third of the lease."""
+POLL_SECONDS = 1.0
+"""Longest wait for an end on a worker, so that tasks that stand still are seen in time."""
 
 IDLE_CHECK_SECONDS = 1.0
 """Time between two checks whether an idle worker has to be asked who leads it."""
@@ -63,7 +64,7 @@
 WORKER_RETRY_MAX_SECONDS = 1.0
 """Longest time between two calls to a worker that does not answer."""
 
-AUTHORITY_SECONDS = 2.4
+AUTHORITY_SECONDS = 2.0
 """Time without the store for which a leader goes on in any case: until others take over."""
 
 CONTACT_SECONDS = 3.0
@@ -139,7 +140,7 @@
         self.decide = asyncio.Event()
         self.save = asyncio.Event()
         self.saved_pending: dict[str, int] = {}
-        self.saved_workers: set[str] = set()
+        self.saved_workers: dict[str, bool] = {}
         self.pending_at = -PENDING_SECONDS
         self.expired_jobs: list[str] = []
         self.took_over_at = clock.now()
@@ -188,7 +189,7 @@
         self.jobs_version = jobs.version
         self.workers_version = listing.version
         self.take_listing(listing, is_whole=True)
-        await self.recall_workers(listing)
+        await self.recall_workers()
         log.info(
             "state loaded",
             epoch=self.epoch,
@@ -197,7 +198,7 @@
             version=jobs.version,
         )
 
-    async def recall_workers(self, listing: WorkerListing) -> None:
+    async def recall_workers(self) -> None:
         """Take in workers that earlier leaders used and that are not listed now.
 
         An entry may be missing while its worker is at work: it expires when the worker does not
@@ -207,10 +208,11 @@
         if row is None or row.value is None:
             return
         now = self.clock.now()
-        self.saved_workers = set(row.value)
         for worker_id, plain in row.value.items():
-            if listing.entries.get(worker_id) is None and worker_id not in self.board.workers:
-                self.take_entry(from_plain(plain, WorkerEntry), now, row.version)
+            entry = from_plain(plain, WorkerEntry)
+            # A worker that was leaving and whose entry is gone has left, with all that it ran.
+            if entry.is_ready and worker_id not in self.board.workers:
+                self.take_entry(entry, now, row.version)
                 self.board.unlist_worker(worker_id)
 
     # Following
@@ -247,9 +249,7 @@
                     job=job.id,
                     priority=job.priority,
                     tasks=sum(step.count for step in job.steps),
-                    accelerators=max(
-                        step.count * step.demand.accelerators for step in job.steps
-                    ),
+                    accelerators=max(step.count * step.demand.accelerators for step in job.steps),
                     chain_seconds=job.chain_seconds(),
                     objective_seconds=job.objective_seconds,
                     version=version,
@@ -362,6 +362,7 @@
             self.decide.clear()
             self.settle()
             self.stop_runs(list(self.board.runs_to_stop()), "no more use")
+            self.stop_runs(runs_to_move(self.board, self.clock.now()), "too slow here")
             if self.has_authority:
                 began = self.clock.now()
                 plan = self.planner.plan(began, self.wall())
@@ -554,9 +555,10 @@
     def workers_put(self) -> list[Put]:
         """Return the row of the workers that may be at work, if they have changed."""
         workers = self.board.workers
-        if not self.has_adopted or workers.keys() == self.saved_workers:
+        current = {worker_id: worker.entry.is_ready for worker_id, worker in workers.items()}
+        if not self.has_adopted or current == self.saved_workers:
             return []
-        self.saved_workers = set(workers)
+        self.saved_workers = current
         entries = {worker_id: to_plain(worker.entry) for worker_id, worker in workers.items()}
         return [Put(WORKERS_KEY, entries)]
 
--- a/src/jaypier/jobs/ledger.py
+++ b/src/jaypier/jobs/ledger.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import attrs
 import structlog
 
 from jaypier.core.clock import Clock
@@ -86,8 +87,11 @@
         self.writes += 1
         own: list[Put] = [Put(TURN_KEY, self.leadership.epoch)]
         if renew:
-            renewals = self.leadership.renewals + 1
-            self.leadership = Leadership(self.leadership.owner, self.leadership.epoch, renewals)
+            self.leadership = attrs.evolve(
+                self.leadership,
+                renewals=self.leadership.renewals + 1,
+                renewed_at=self.table.store_time(),
+            )
             own.append(Put(LEADER_KEY, to_plain(self.leadership)))
         version = await self.table.commit(Transaction(conditions, own + puts, deletes))
         self.turn_version = version
@@ -113,7 +117,7 @@
 
     async def leave(self) -> None:
         """Give the leadership up, so that another daemon takes over at once."""
-        vacant = Leadership("", self.leadership.epoch, self.leadership.renewals + 1)
+        vacant = attrs.evolve(self.leadership, owner="")
         transaction = Transaction(
             [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(vacant))]
         )
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -33,6 +33,10 @@
 HEADROOM_SHARE = 0.25
 """Share of the accelerators that may be kept free for urgent jobs at most."""
 
+HEADROOM_KEPT_SECONDS = 4.0
+"""Time for which a worker stays kept for urgent jobs: longer than the pauses in a burst, so that
+other work is not started there only to be stopped again."""
+
 ARRIVALS_SECONDS = 12.0
 """Time over which urgent arrivals are averaged: twice the usual length of a burst."""
 
@@ -77,7 +81,7 @@
         self.board = board
         self.restore_seconds = restore_seconds
         self.held: dict[str, float] = {}
-        self.urgent_only: set[str] = set()
+        self.urgent_only: dict[str, float] = {}
         self.urgent_arrivals: deque[tuple[float, int]] = deque()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
@@ -132,7 +136,8 @@
         if not workers:
             return Plan([], [], len(self.board.jobs))
         self.held = {}
-        self.urgent_only = self.choose_headroom(workers, now)
+        self.choose_headroom(workers, now)
+        stops += self.clear_headroom(workers)
         refused: set[tuple] = set()
         for state in self.order(now, wall):
             for step in state.steps:
@@ -246,8 +251,8 @@
             ]
         return self.place_singles(step, candidates, free_of, now)
 
-    def choose_headroom(self, workers: list[Worker], now: float) -> set[str]:
-        """Return the workers that only urgent jobs may use now.
+    def choose_headroom(self, workers: list[Worker], now: float) -> None:
+        """Choose the workers that only urgent jobs may use now.
 
         Their accelerators that no urgent job uses cover the urgent arrivals of the next moments.
         They are the first in a fixed order by rack, so that they are adjacent and stay the same.
@@ -257,7 +262,6 @@
         arrived = sum(accelerators for _, accelerators in self.urgent_arrivals)
         total = sum(worker.entry.capacity.accelerators for worker in workers)
         wanted = min(arrived / ARRIVALS_SECONDS * HEADROOM_SECONDS, HEADROOM_SHARE * total)
-        chosen: set[str] = set()
         for worker in sorted(workers, key=lambda each: (each.entry.rack, each.id)):
             if wanted <= 0:
                 break
@@ -266,9 +270,23 @@
                 for run in worker.runs.values()
                 if run.step.job.job.priority == URGENT_PRIORITY
             )
-            chosen.add(worker.id)
+            self.urgent_only[worker.id] = now + HEADROOM_KEPT_SECONDS
             wanted -= worker.entry.capacity.accelerators - urgent
-        return chosen
+        self.urgent_only = {name: end for name, end in self.urgent_only.items() if end > now}
+
+    def clear_headroom(self, workers: list[Worker]) -> list[Run]:
+        """Stop runs on workers that are kept for urgent jobs, where that loses little."""
+        return [
+            run
+            for worker in workers
+            if worker.id in self.urgent_only
+            for run in worker.runs.values()
+            if run.step.job.job.priority != URGENT_PRIORITY
+            and run.is_confirmed
+            and run.step.step.saves
+            and not run.step.step.is_gang
+            and self.board.mark_stopping(run)
+        ]
 
     def candidates(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Return the workers that a step may use.
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -26,6 +26,7 @@
     :param is_stopping: whether it was told to stop.
     :param percent: newest reported progress.
     :param progressed_at: local time at which its progress was last seen to grow.
+    :param pace: newest progress against the estimate, 1 when it takes as long as estimated.
     """
 
     task: TaskId
@@ -39,6 +40,9 @@
     is_stopping: bool = False
     percent: float = 0.0
     progressed_at: float = math.inf
+    sampled_percent: float = 0.0
+    sampled_at: float = math.inf
+    pace: float | None = None
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -172,6 +176,7 @@
     :param processed: number of the last end that decisions know of.
     :param durable: number of the last end that the store knows of.
     :param failures: failed runs since the last good one.
+    :param slow_reports: reports in a row in which its tasks were much slower than estimated.
     :param avoid_until: local time until which others are preferred.
     """
 
@@ -186,6 +191,7 @@
     processed: int = 0
     durable: int = 0
     failures: int = 0
+    slow_reports: int = 0
     avoid_until: float = -math.inf
     is_unreachable: bool = False
     used: Resources = attrs.field(factory=Resources)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import attrs
+
 from jaypier.jobs.model import JobStatus
 from jaypier.jobs.tests.builders import make_job, make_step, play
 
@@ -189,3 +191,33 @@
             await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 4)
 
         play(scenario)
+
+    def test_next_leader_does_not_wait_for_a_worker_that_was_leaving(self):
+        async def scenario(bench):
+            await bench.wait_until(lambda: bench.leader_name is not None, 5)
+            gone = bench.cluster.workers["worker-02"]
+            gone.entry = attrs.evolve(gone.entry, is_ready=False)
+            bench.cluster.register(gone)
+            await asyncio.sleep(1.5)
+            await bench.kill(bench.leader_name)
+            gone.crash()
+            bench.cluster.unregister(gone)
+            await bench.wait_until(lambda: bench.leader_name is not None, 5)
+            job = make_job()
+            bench.cluster.submit(job)
+            await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 0.5)
+
+        play(scenario)
+
+
+class TestElection:
+    def test_daemons_that_start_after_an_outage_do_not_wait_for_the_last_leader(self):
+        async def scenario(bench):
+            await bench.wait_until(lambda: bench.leader_name is not None, 5)
+            for name in ("vm-a", "vm-b"):
+                await bench.kill(name)
+            await asyncio.sleep(5.0)
+            bench.start_daemon("vm-c")
+            await bench.wait_until(lambda: bench.leader_name == "vm-c", 0.3)
+
+        play(scenario)
--- /dev/null
+++ b/src/jaypier/jobs/tests/test_pace.py
@@ -0,0 +1,64 @@
+from jaypier.jobs.pace import is_slow, runs_to_move
+from jaypier.jobs.tests.builders import (
+    active,
+    make_board,
+    make_job,
+    make_planner,
+    make_step,
+    take_report,
+)
+
+
+def report_progress(board, run, now, percent):
+    take_report(board, run.worker, now, [active(run.task, run.attempt, "", percent)])
+
+
+class TestSlowWorkers:
+    def start(self, workers=3, **values):
+        board = make_board(workers)
+        planner = make_planner(board, make_job(make_step(seconds=8.0, **values)))
+        return board, planner, planner.plan(0.0, 0.0).starts
+
+    def test_worker_whose_task_hardly_advances_is_avoided_and_left(self):
+        board, planner, (run,) = self.start(saves=True)
+        for now in (0.1, 1.1, 2.1, 3.1):
+            report_progress(board, run, now, now)
+        assert is_slow(run.worker)
+        assert runs_to_move(board, 3.1) == [run]
+        take_report(board, run.worker, 4.0)
+        (again,) = planner.plan(4.0, 4.0).starts
+        assert again.worker is not run.worker
+
+    def test_worker_at_the_estimated_pace_is_kept(self):
+        board, _, (run,) = self.start(saves=True)
+        for now in (0.1, 1.1, 2.1, 3.1):
+            report_progress(board, run, now, 100 * now / 8)
+        assert runs_to_move(board, 3.1) == []
+
+    def test_task_near_its_end_is_left_alone(self):
+        board, _, (run,) = self.start()
+        for now in (0.1, 1.1, 2.1, 3.1):
+            report_progress(board, run, now, 80 + now / 10)
+        assert runs_to_move(board, 3.1) == []
+
+    def test_gang_that_stands_still_starts_elsewhere(self):
+        board, planner, runs = self.start(workers=3, count=1, accelerators=8, is_gang=True)
+        (run,) = runs
+        for now in (0.1, 1.1, 2.1, 3.1):
+            report_progress(board, run, now, 0.0)
+        assert runs_to_move(board, 3.1) == [run]
+
+    def test_gang_of_a_long_estimate_is_given_time(self):
+        board = make_board(3)
+        (run,) = (
+            make_planner(board, make_job(make_step(seconds=3600, is_gang=True))).plan(0, 0).starts
+        )
+        for now in (0.1, 10.0, 20.0):
+            report_progress(board, run, now, 0.0)
+        assert runs_to_move(board, 20.0) == []
+
+    def test_nothing_is_moved_when_most_workers_are_slow(self):
+        board, _, runs = self.start(workers=1, saves=True)
+        for now in (0.1, 1.1, 2.1, 3.1):
+            report_progress(board, runs[0], now, 0.0)
+        assert runs_to_move(board, 3.1) == []
--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -59,6 +59,10 @@
         :raises PlatformUnavailable: when there is no answer.
         """
 
+    @abstractmethod
+    def store_time(self) -> float:
+        """Return the store's steady clock in seconds, as far as its last answer tells."""
+
     async def transact(self, transaction: Transaction) -> None:
         """Apply a transaction whole."""
         await self.commit(transaction)
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+import time
 from typing import Any
 from urllib.parse import urlencode
 
@@ -47,6 +48,7 @@
         self.timeout = timeout
         self.pool = ConnectionPool(address, max_body=MAX_ANSWER_BYTES)
         self.calls = 0
+        self.clock_offset = 0.0
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -115,12 +117,22 @@
         if response.status == 412:
             current = [_decode_row(row) for row in _decode_body(response).get("rows", ())]
             raise ConditionFailed(transaction.conditions[0].key, current)
-        return _checked(response)["RowVersion"]
+        return self.note_time(_checked(response))["RowVersion"]
+
+    def store_time(self) -> float:
+        """Return the store's steady clock in seconds, as far as its last answer tells."""
+        return time.monotonic() + self.clock_offset
+
+    def note_time(self, answer: dict[str, Any]) -> dict[str, Any]:
+        """Note the store's clock in an answer."""
+        if "NowMs" in answer:
+            self.clock_offset = answer["NowMs"] / 1000 - time.monotonic()
+        return answer
 
     async def get(self, path: str, timeout: float, **parameters: Any) -> dict[str, Any]:
         """Make a reading call and return its decoded answer."""
         target = f"/{path}?{urlencode(parameters)}"
-        return _checked(await self.call(HttpRequest("GET", target), timeout))
+        return self.note_time(_checked(await self.call(HttpRequest("GET", target), timeout)))
 
     async def call(self, request: HttpRequest, timeout: float) -> HttpResponse:
         """Make one call, turning errors of the transport into the platform's."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -173,6 +173,10 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def store_time(self) -> float:
+        """Return the virtual time."""
+        return asyncio.get_running_loop().time()
+
     def compact(self) -> None:
         """Drop the history of changes."""
         self.history.clear()
@@ -216,6 +220,10 @@
         self.check()
         return changes
 
+    def store_time(self) -> float:
+        """Return the virtual time."""
+        return self.store.store_time()
+
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction whole and return the version of its rows."""
         self.check()
