--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections import defaultdict
 from collections.abc import Iterator
 
 import attrs
@@ -17,7 +18,7 @@
     WorkerEntry,
     WorkerReport,
 )
-from jaypier.jobs.pace import judge_worker, sample_pace
+from jaypier.jobs.pace import EstimateRecord, judge_worker, sample_pace
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
 
 CLOCK_DRIFT = 1.03
@@ -76,6 +77,7 @@
         self.changed: set[str] = set()
         self.cancelled: set[str] = set()
         self.orphans: dict[str, Orphan] = {}
+        self.estimates: dict[str, EstimateRecord] = defaultdict(EstimateRecord)
 
     # Jobs
 
@@ -263,7 +265,7 @@
             is_complete = sent_at > run.settled_at or report.clock > run.order_deadline
             if run.key not in active and is_complete:
                 self.end_run(run)
-        judge_worker(worker, now)
+        judge_worker(worker, self.estimates, now)
         return new_ends, unknown
 
     def take_active(self, worker: Worker, active: ActiveRun, sent_at: float, now: float) -> bool:
@@ -321,6 +323,9 @@
             for each in step.tasks if step.step.is_gang else [task]:
                 each.checkpoint = end.checkpoint
         if end.end is RunEnd.DONE:
+            if run is not None and not task.checkpoint and not step.step.is_gang:
+                estimate = self.estimates[state.job.queue]
+                estimate.note(step.step.estimated_seconds, now - run.started_at)
             worker.failures = 0
             worker.avoid_until = -math.inf
             self.finish_task(step, task)
--- a/src/jaypier/jobs/pace.py
+++ b/src/jaypier/jobs/pace.py
@@ -4,6 +4,9 @@
 its state. Estimates of single callers are rough; a worker is judged by the median of its tasks.
 """
 
+import math
+from collections import deque
+from collections.abc import Mapping
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -19,8 +22,8 @@
 """Share of a task's estimate between two samples, so that whole percents are precise enough."""
 
 SLOW_PACE = 0.3
-"""Progress against the estimate below which a worker is slow: callers' estimates are within a
-factor of 2, slow workers take 4 times as long and more."""
+"""Progress against the estimate below which a worker is slow: trusted estimates are within a factor
+of 1.5, slow workers take 4 times as long and more."""
 
 SLOW_REPORTS = 2
 """Slow reports in a row after which a worker is avoided."""
@@ -28,6 +31,16 @@
 SLOW_AVOID_SECONDS = 3.0
 """Time for which a slow worker is avoided after its newest slow report."""
 
+RECORD_LENGTH = 30
+"""Ended tasks of a queue by which its estimates are judged."""
+
+RECORD_MINIMUM = 4
+"""Ended tasks of a queue before its estimates are trusted."""
+
+RELIABLE_ERROR = 0.4
+"""Median error of trusted estimates, as a natural logarithm: a factor of 1.5, well inside the
+factor by which slow workers differ."""
+
 STILL_SECONDS = 2.5
 """Time without progress after which a gang is started again elsewhere: more than two reports."""
 
@@ -35,6 +48,23 @@
 """The same as a share of the gang's estimate, where that is longer."""
 
 
+class EstimateRecord:
+    """How far the estimates of one queue are from what its tasks took."""
+
+    def __init__(self) -> None:
+        self.errors: deque[float] = deque(maxlen=RECORD_LENGTH)
+
+    def note(self, estimate: float, actual: float) -> None:
+        """Note a task that has ended well."""
+        if estimate > 0 and actual > 0:
+            self.errors.append(abs(math.log(actual / estimate)))
+
+    @property
+    def is_reliable(self) -> bool:
+        """Whether estimates are close enough to judge workers by them."""
+        return len(self.errors) >= RECORD_MINIMUM and median(self.errors) < RELIABLE_ERROR
+
+
 def sample_pace(run: Run, now: float) -> None:
     """Take a sample of a run's progress."""
     if run.sampled_at > now:
@@ -48,15 +78,20 @@
     run.sampled_percent, run.sampled_at = run.percent, now
 
 
-def judge_worker(worker: Worker, now: float) -> None:
-    """Note whether a worker is slow, by its tasks that work alone.
+def judge_worker(worker: Worker, estimates: Mapping[str, EstimateRecord], now: float) -> None:
+    """Note whether a worker is slow, by its tasks that work alone and have trusted estimates.
 
     Tasks of a gang wait for each other, so their progress says nothing of their own worker.
+
+    :param estimates: record of each queue.
     """
     paces = [
         run.pace
         for run in worker.runs.values()
-        if run.pace is not None and not run.step.step.is_gang and not run.is_stopping
+        if run.pace is not None
+        and not run.step.step.is_gang
+        and not run.is_stopping
+        and estimates[run.step.job.job.queue].is_reliable
     ]
     if not paces:
         return
@@ -82,13 +117,19 @@
             if run.step.step.is_gang:
                 if stands_still(run, now) or (is_slow(worker) and run.percent < 50):
                     moving += leave_gang(board, run)
-            elif is_slow(worker) and run.pace is not None and run.pace < SLOW_PACE:
-                if run.step.step.saves or run.percent < 50:
-                    run.step.tasks[run.task.index].failed_on.add(worker.id)
-                    moving += [run] if board.mark_stopping(run) else []
+            elif gains_by_moving(board, run):
+                run.step.tasks[run.task.index].failed_on.add(worker.id)
+                moving += [run] if board.mark_stopping(run) else []
     return moving
 
 
+def gains_by_moving(board: "JobBoard", run: Run) -> bool:
+    """Whether a task that works alone is on a slow worker and has much left or saved."""
+    is_slow_here = is_slow(run.worker) and run.pace is not None and run.pace < SLOW_PACE
+    is_trusted = board.estimates[run.step.job.job.queue].is_reliable
+    return is_slow_here and is_trusted and (run.step.step.saves or run.percent < 50)
+
+
 def stands_still(run: Run, now: float) -> bool:
     """Whether a gang's task has made no progress for long, and neither has its gang."""
     patience = max(STILL_SECONDS, STILL_SHARE * run.step.step.estimated_seconds)
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -137,7 +137,6 @@
             return Plan([], [], len(self.board.jobs))
         self.held = {}
         self.choose_headroom(workers, now)
-        stops += self.clear_headroom(workers)
         refused: set[tuple] = set()
         for state in self.order(now, wall):
             for step in state.steps:
@@ -274,20 +273,6 @@
             wanted -= worker.entry.capacity.accelerators - urgent
         self.urgent_only = {name: end for name, end in self.urgent_only.items() if end > now}
 
-    def clear_headroom(self, workers: list[Worker]) -> list[Run]:
-        """Stop runs on workers that are kept for urgent jobs, where that loses little."""
-        return [
-            run
-            for worker in workers
-            if worker.id in self.urgent_only
-            for run in worker.runs.values()
-            if run.step.job.job.priority != URGENT_PRIORITY
-            and run.is_confirmed
-            and run.step.step.saves
-            and not run.step.step.is_gang
-            and self.board.mark_stopping(run)
-        ]
-
     def candidates(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Return the workers that a step may use.
 
