--- a/src/jaypier/entry/keeper.py
+++ b/src/jaypier/entry/keeper.py
@@ -62,7 +62,8 @@
         """Read what has changed, or all of it where that is not known."""
         if self.version is None:
             return await self.source.snapshot()
-        return await self.source.follow(self.version, FOLLOW_SECONDS)
+        # After an outage the first answer comes at once, so that keys are trusted again early.
+        return await self.source.follow(self.version, FOLLOW_SECONDS if self.is_confirmed else 0.0)
 
     def take(self, changes: OperatorChanges) -> None:
         """Take in changes; an older configuration never replaces a newer one."""
--- /dev/null
+++ b/src/jaypier/platform/tests/test_callers.py
@@ -0,0 +1,104 @@
+import json
+
+import pytest
+
+from jaypier.jobs.model import JobStatus, Resources
+from jaypier.platform.callers import (
+    BadRequest,
+    deadline_of,
+    decode_job,
+    pending_response,
+    refusal,
+    state_response,
+)
+from jaypier.wire.messages import HttpRequest
+
+
+def encode(**values):
+    return json.dumps({"Spec": "text", "Phases": [{"Count": 1}], **values}).encode()
+
+
+class TestJobs:
+    def test_every_field_of_a_step_is_decoded(self):
+        step = {
+            "Count": 20,
+            "Cpu": 2000,
+            "MemMb": 1024,
+            "Gpu": 4,
+            "EstimatedMs": 7000,
+            "After": [0],
+            "Checkpointing": True,
+            "GangScheduled": True,
+            "RackLocal": True,
+            "Requirements": "a",
+            "DataRack": "r1-3",
+            "AntiAffinity": 2,
+        }
+        payload, (_, decoded) = decode_job(encode(Phases=[{"Count": 4}, step]))
+        assert payload == "text"
+        assert decoded.demand == Resources(2000, 1024, 4)
+        assert decoded.count == 20
+        assert decoded.estimated_seconds == 7.0
+        assert decoded.after == (0,)
+        assert decoded.saves and decoded.is_gang and decoded.is_rack_local
+        assert (decoded.label, decoded.data_rack, decoded.max_per_worker) == ("a", "r1-3", 2)
+
+    @pytest.mark.parametrize(
+        "body, message",
+        [
+            (b"{", "not JSON"),
+            (b"[]", "must be an object"),
+            (b"\xff\xfe", "not JSON"),
+            (encode(Spec=7), "Spec must be a text"),
+            (encode(Spec="x" * 4001), "at most 4000 bytes"),
+            (encode(Phases=[]), "1 to 1000 steps"),
+            (encode(Phases={}), "1 to 1000 steps"),
+            (encode(Phases=[7]), "must be an object"),
+            (encode(Phases=[{"Count": 0}]), "Phases[0].Count is 0"),
+            (encode(Phases=[{"Count": True}]), "Phases[0].Count is True"),
+            (encode(Phases=[{"Count": 10**9}]), "Phases[0].Count"),
+            (encode(Phases=[{"Count": 1, "Cpu": -1}]), "Phases[0].Cpu is -1"),
+            (encode(Phases=[{"Count": 1, "After": [0]}]), "numbers of earlier steps"),
+            (encode(Phases=[{"Count": 1, "GangScheduled": 1}]), "expected true or false"),
+            (encode(Phases=[{"Count": 20000}, {"Count": 1}]), "more than 20000 tasks"),
+            (encode(Phases=[{"Count": 1, "LongRunning": True}]), "LongRunning is not supported"),
+            (encode(RepeatCount=3), "RepeatCount is not supported"),
+        ],
+    )
+    def test_bad_input_is_named(self, body, message):
+        with pytest.raises(BadRequest) as caught:
+            decode_job(body)
+        assert message in str(caught.value)
+
+    def test_deeply_nested_body_is_refused(self):
+        with pytest.raises(BadRequest):
+            decode_job(b"[" * 200_000)
+
+
+class TestAnswers:
+    def test_states_are_the_platform_s_words(self):
+        words = {status: json.loads(state_response(status).body)["State"] for status in JobStatus}
+        assert list(words.values()) == [
+            "queued",
+            "in_progress",
+            "completed",
+            "failed",
+            "cancelled",
+        ]
+
+    def test_refusal_says_when_to_come_back(self):
+        response = refusal(503, "not run", 1)
+        assert (response.status, response.header(b"retry-after")) == (503, "1")
+
+    def test_pending(self):
+        assert json.loads(pending_response(3).body) == {"Pending": 3}
+
+
+class TestDeadlines:
+    @pytest.mark.parametrize(
+        "text, seconds",
+        [("1500", 1.5), ("", 3.0), ("soon", 3.0), ("-1", 3.0), ("inf", 3.0), ("99999", 3.0)],
+    )
+    def test_deadline_of_a_call(self, text, seconds):
+        request = HttpRequest("GET", "/", [(b"deadline-ms", text.encode())])
+        assert deadline_of(request, 3.0) == seconds
--- /dev/null
+++ b/src/jaypier/platform/tests/test_operators.py
@@ -0,0 +1,28 @@
+from jaypier.platform.model import Changes, Row
+from jaypier.platform.operators import decode_changes
+from standins.protocol import encode_configuration
+
+ROWS = [
+    Row("op/config", encode_configuration(7, {"clinic": ["k1", "k2"]}, 32), 3),
+    Row("op/evacuate/dc-a", {}, 4),
+    Row("op/evacuate/dc-b", None, 5),
+    Row("op/wave/1", {"Cohort": 1}, 6),
+]
+
+
+class TestConfiguration:
+    def test_configuration_is_decoded(self):
+        configuration = decode_changes(Changes(ROWS, 6)).configuration
+        assert configuration.version == 7
+        assert configuration.team_of("k2").guaranteed_accelerators == 32
+        assert configuration.team_of("k3") is None
+        route = configuration.find_route("desk.example", "/urgent/0123456789abcdef")
+        assert (route.priority, route.max_attempts, route.slack_factor) == (0, 3, 3.0)
+        assert configuration.find_route("desk.example", "/none/x") is None
+        assert configuration.find_route("other.example", "/urgent/x") is None
+
+    def test_data_centres_out_of_service(self):
+        assert decode_changes(Changes(ROWS, 6)).out_of_service == {"dc-a": True, "dc-b": False}
+
+    def test_changes_without_a_configuration(self):
+        assert decode_changes(Changes(ROWS[1:], 6)).configuration is None
--- /dev/null
+++ b/src/jaypier/platform/tests/test_settings.py
@@ -0,0 +1,59 @@
+import pytest
+
+from jaypier.platform.settings import VmSettingsError, load_vm_settings
+
+TEXT = """
+NodeName = "edge-1"
+Zone = "dc-a"
+Ip = "10.1.0.19"
+InternalPortRange = [7000,7015]
+Unknown = 7
+[ListenAddrs]
+Frontend = "10.1.0.19:8521"
+Ready = "10.1.0.19:8523"
+[Limits]
+CpuQuota = 0.5
+CpuCores = 2
+MemoryLimitMb = 300
+[platform]
+Address = "10.200.1.7:8524"
+[Bounds]
+MaxHoldMs = 6000
+RevokeTimeoutMs = 5000
+StopTimeoutMs = 400
+"""
+
+
+class TestSettings:
+    def load(self, tmp_path, text):
+        path = tmp_path / "node.toml"
+        path.write_text(text)
+        return load_vm_settings(path)
+
+    def test_settings_are_decoded(self, tmp_path):
+        settings = self.load(tmp_path, TEXT)
+        assert settings.name == "edge-1"
+        assert settings.data_centre == "dc-a"
+        assert settings.callers.port == 8521
+        assert settings.metrics.port == 7001
+        assert settings.processor_share == 1.0
+        assert settings.bounds.lease == 6.0
+        assert settings.bounds.stop == 0.4
+
+    @pytest.mark.parametrize(
+        "change, message",
+        [
+            (('NodeName = "edge-1"', ""), "NodeName"),
+            (('"10.200.1.7:8524"', '"store"'), "IP:PORT"),
+            (("[platform]", "[platform"), "node.toml"),
+        ],
+    )
+    def test_mistakes_are_named(self, tmp_path, change, message):
+        with pytest.raises(VmSettingsError) as caught:
+            self.load(tmp_path, TEXT.replace(*change))
+        assert message in str(caught.value)
+
+    def test_missing_file_is_named(self, tmp_path):
+        with pytest.raises(VmSettingsError) as caught:
+            load_vm_settings(tmp_path / "none.toml")
+        assert "none.toml" in str(caught.value)
--- /dev/null
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -0,0 +1,53 @@
+import pytest
+
+from jaypier.platform.model import Row
+from jaypier.platform.workers import decode_worker
+
+ENTRY = {
+    "Service": "desk",
+    "Address": "10.128.0.9:8080",
+    "Zone": "dc-a",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdLeftMs": 0,
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 8},
+    "Labels": ["a", "r1-3"],
+    "ClockMs": 482113,
+    "Sequence": 4,
+    "born": 1783120004753,
+}
+
+
+class TestEntries:
+    def test_entry_is_decoded(self):
+        entry = decode_worker(Row("servers/i-1", ENTRY, 3))
+        assert entry.id == "i-1"
+        assert entry.rack == "r1-3"
+        assert entry.labels == {"a", "r1-3"}
+        assert entry.capacity.accelerators == 8
+        assert entry.is_ready
+        assert entry.born == 1783120004753
+
+    def test_draining_worker_takes_no_work(self):
+        assert not decode_worker(Row("servers/i-1", {**ENTRY, "State": "draining"}, 3)).is_ready
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "resting"},
+            {"State": None},
+            {"Address": "nowhere"},
+            {"Address": 7},
+            {"Capacity": None},
+            {"Capacity": {"Cpu": "many", "MemMb": 1, "Gpu": 1}},
+            {"Labels": 3},
+            {"Service": None},
+        ],
+    )
+    def test_entry_of_another_writer_names_no_worker(self, change):
+        assert decode_worker(Row("servers/i-1", {**ENTRY, **change}, 3)) is None
+
+    @pytest.mark.parametrize("value", [None, [], "text", 7, {}])
+    def test_unreadable_entry_names_no_worker(self, value):
+        assert decode_worker(Row("servers/i-1", value, 3)) is None
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -105,8 +105,8 @@
         self.waiter = loop.create_future()
         self.response, self.body, self.body_size = None, [], 0
         headers = [
-            (b"host", str(self.address).encode()),
-            *request.headers,
+            (b"host", request.header(b"host", str(self.address)).encode()),
+            *(header for header in request.headers if header[0] != b"host"),
             (b"content-length", str(len(request.body)).encode()),
         ]
         timer = loop.call_later(timeout, self.expire)
--- /dev/null
+++ b/standins/protocol.py
@@ -0,0 +1,299 @@
+"""The platform's protocol over HTTP, in front of the stand-in cluster in memory.
+
+Serves the store, and each worker at an address of its own, as the platform's pages describe them,
+so that the real programs can be run against it.
+"""
+
+import base64
+from contextlib import AsyncExitStack
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import msgspec
+
+from jaypier.core.address import Address
+from jaypier.jobs.abstract import WorkerDeposedUs, WorkerUnreachable
+from jaypier.jobs.model import StartAnswer, StartOrder, TaskId
+from jaypier.platform import (
+    Condition,
+    ConditionFailed,
+    HistoryLost,
+    PlatformUnavailable,
+    Put,
+    Row,
+    Transaction,
+)
+from jaypier.platform.workers import RUN_ENDS, START_REFUSALS
+from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
+from jaypier.wire.server import HttpServer
+from standins.cluster import MemoryCluster, MemoryStore, MemoryWorker
+
+END_NAMES = {end: name for name, end in RUN_ENDS.items()}
+REFUSAL_NAMES = {answer: name for name, answer in START_REFUSALS.items()}
+
+
+def answer(status: int, value: Any = None) -> HttpResponse:
+    """Return a response that carries JSON."""
+    return json_response(status, msgspec.json.encode({} if value is None else value))
+
+
+def encode_row(row: Row) -> dict[str, Any]:
+    """Return a row as the store shows it."""
+    table, _, name = row.key.partition("/")
+    shown = {"Table": table, "part": "", "Key": name, "RowVersion": row.version}
+    if row.value is None:
+        return {**shown, "Deleted": True}
+    return {**shown, "Value": base64.b64encode(msgspec.json.encode(row.value)).decode()}
+
+
+def row_key(row: dict[str, Any]) -> str:
+    """Return the key of a row that a call names."""
+    return f"{row['Table']}/{row['Key']}"
+
+
+class StoreServer:
+    """Serves the store.
+
+    :param store: rows in memory.
+    """
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        try:
+            if request.path == "/rows-tx":
+                return await self.transact(msgspec.json.decode(request.body))
+            query = parse_qs(request.target.partition("?")[2], keep_blank_values=True)
+            values = {name: texts[0] for name, texts in query.items()}
+            if request.path == "/rows-get":
+                return await self.read(values)
+            if request.path == "/rows-feed":
+                return await self.follow(values)
+        except PlatformUnavailable as error:
+            if error.effect_unknown:
+                raise
+            return answer(503)
+        except HistoryLost:
+            return answer(410)
+        return answer(404)
+
+    def shown(self, rows: list[Row], version: int, **values: Any) -> HttpResponse:
+        """Return rows with the store's version and clock."""
+        now = int(self.store.store_time() * 1000)
+        rows = [encode_row(row) for row in rows]
+        return answer(200, {"rows": rows, "RowVersion": version, "NowMs": now, **values})
+
+    async def read(self, values: dict[str, str]) -> HttpResponse:
+        """Return a page of a table."""
+        found = await self.store.scan(values["Table"] + "/")
+        start = values.get("StartKey", "")
+        found = [row for row in found if row.key.partition("/")[2] >= start]
+        limit = min(int(values.get("Limit", 500)), 500)
+        return self.shown(found[:limit], self.store.version, HasMore=len(found) > limit)
+
+    async def follow(self, values: dict[str, str]) -> HttpResponse:
+        """Return the changes of a table after a version."""
+        wait = int(values.get("WaitMs", 0)) / 1000
+        changes = await self.store.follow(values["Table"], int(values["After"]), wait)
+        return self.shown(changes.rows, changes.version)
+
+    async def transact(self, body: dict[str, Any]) -> HttpResponse:
+        """Apply a transaction."""
+        transaction = Transaction(
+            [Condition(row_key(row), row["RowVersion"]) for row in body["Expect"]],
+            [
+                Put(row_key(row), msgspec.json.decode(base64.b64decode(row["Value"])))
+                for row in body["Write"]
+            ],
+            [row_key(row) for row in body["Remove"]],
+        )
+        try:
+            version = await self.store.commit(transaction)
+        except ConditionFailed as error:
+            rows = [encode_row(row) for row in error.current.values()]
+            return answer(412, {"rows": rows})
+        now = int(self.store.store_time() * 1000)
+        return answer(200, {"RowVersion": version, "NowMs": now})
+
+
+class WorkerServer:
+    """Serves one worker.
+
+    :param worker: the worker in memory.
+    """
+
+    def __init__(self, worker: MemoryWorker) -> None:
+        self.worker = worker
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        worker = self.worker
+        if not worker.is_up or worker.is_cut:
+            raise WorkerUnreachable("down")
+        if request.header(b"target-instance", worker.entry.id) != worker.entry.id:
+            return answer(421)
+        body = msgspec.json.decode(request.body)
+        try:
+            if request.path == "/run-start":
+                return self.start(body)
+            if request.path == "/run-stop":
+                worker.stop(body["FencingToken"], TaskId.parse(body["Task"]), body["Attempt"])
+                return answer(200, {"ClockMs": worker.clock})
+            if request.path == "/hold":
+                return await self.hold(body)
+        except WorkerDeposedUs:
+            return answer(409, {"ClockMs": worker.clock, "Reason": "fence"})
+        return answer(404)
+
+    def start(self, body: dict[str, Any]) -> HttpResponse:
+        """Start a run."""
+        order = StartOrder(
+            TaskId.parse(body["Task"]),
+            body["Attempt"],
+            body["Spec"],
+            body.get("Checkpoint", ""),
+            body["DeadlineMs"],
+        )
+        outcome = self.worker.start(body.get("FencingToken", 0), order)
+        clock = {"ClockMs": self.worker.clock}
+        if outcome is StartAnswer.STARTED:
+            return answer(200, clock)
+        return answer(409, {**clock, "Reason": REFUSAL_NAMES[outcome]})
+
+    async def hold(self, body: dict[str, Any]) -> HttpResponse:
+        """Renew the lease and return both lists."""
+        worker = self.worker
+        link = worker.cluster.link("http", worker.entry)
+        report = await link.renew(
+            body["FencingToken"],
+            body.get("LastSeen", 0),
+            body.get("DeadlineMs"),
+            body.get("WaitMs", 0) / 1000,
+        )
+        active = [
+            [str(run.task), run.attempt, run.checkpoint, int(run.percent)] for run in report.active
+        ]
+        finished = [
+            [end.number, str(end.task), end.attempt, END_NAMES[end.end], end.checkpoint]
+            for end in report.ended
+        ]
+        return answer(
+            200,
+            {
+                "ClockMs": report.clock,
+                "born": report.born,
+                "Active": active,
+                "Finished": finished,
+            },
+        )
+
+
+def encode_worker(worker: MemoryWorker) -> dict[str, Any]:
+    """Return a worker's entry as it registers it."""
+    entry = worker.entry
+    return {
+        "Service": entry.service,
+        "Address": str(entry.address),
+        "Zone": entry.data_centre,
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready" if entry.is_ready else "draining",
+        "ColdLeftMs": 0,
+        "Capacity": {
+            "Cpu": entry.capacity.processor_millis,
+            "MemMb": entry.capacity.memory_mb,
+            "Gpu": entry.capacity.accelerators,
+        },
+        "Labels": ["a", entry.rack],
+        "ClockMs": worker.clock,
+        "Sequence": 1,
+        "born": entry.born,
+    }
+
+
+def encode_configuration(
+    version: int, keys: dict[str, list[str]], guaranteed: int = 16
+) -> dict[str, Any]:
+    """Return a configuration with an urgent and a common queue.
+
+    :param keys: keys of each team.
+    """
+    routes = [
+        {
+            "Name": f"r-{prefix}",
+            "Host": "desk.example",
+            "PathPrefix": f"/{prefix}/",
+            "Kind": "non_idempotent",
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 1000,
+            "Priority": priority,
+            "Service": "desk",
+            "MaxAttempts": 3,
+            "SlackFactor": 3.0,
+            "Public": False,
+        }
+        for prefix, priority in (("urgent", 0), ("common", 1))
+    ]
+    teams = [
+        {"Name": name, "ApiKeys": list(texts), "Guaranteed": {"Gpu": guaranteed}}
+        for name, texts in keys.items()
+    ]
+    return {"Version": version, "Routes": routes, "Tenants": teams, "Limits": {}, "Services": []}
+
+
+class PlatformServers:
+    """The whole platform on loopback; an async context manager that owns its servers.
+
+    :param cluster: store and workers in memory.
+    :param store_address: where the store listens.
+    :param first_worker_port: port of the first worker; the others follow it.
+    """
+
+    def __init__(
+        self, cluster: MemoryCluster, store_address: Address, first_worker_port: int
+    ) -> None:
+        self.cluster = cluster
+        self.store_address = store_address
+        self.first_worker_port = first_worker_port
+        self.stack = AsyncExitStack()
+        self.faults: list[str] = []
+
+    async def __aenter__(self) -> "PlatformServers":
+        await self.serve(self.store_address, StoreServer(self.cluster.store).handle)
+        for number, worker in enumerate(self.cluster.workers.values()):
+            address = Address(self.store_address.host, self.first_worker_port + number)
+            worker.entry = attrs.evolve(worker.entry, address=address)
+            await self.serve(address, WorkerServer(worker).handle)
+            self.register(worker)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.stack.aclose()
+
+    async def serve(self, address: Address, handler) -> None:
+        """Serve one address."""
+        await self.stack.enter_async_context(HttpServer(address, handler, self.note_fault))
+
+    def note_fault(self, error: Exception) -> None:
+        """Keep a fault of a handler; calls without an answer are meant."""
+        if not isinstance(error, PlatformUnavailable | WorkerUnreachable):
+            self.faults.append(repr(error))
+
+    def register(self, worker: MemoryWorker) -> None:
+        """Write a worker's entry to the store."""
+        put = Put(f"servers/{worker.entry.id}", encode_worker(worker))
+        self.cluster.store.apply(Transaction(puts=[put]))
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration as operators do."""
+        self.cluster.store.apply(Transaction(puts=[Put("op/config", configuration)]))
+
+    def evacuate(self, data_centre: str) -> None:
+        """Take a data centre out of service as operators do."""
+        self.cluster.store.apply(Transaction(puts=[Put(f"op/evacuate/{data_centre}", {})]))
+
+
+__all__ = ["PlatformServers", "encode_configuration", "encode_worker"]
