Log lines on standard output are bounded and never block

Cause: a reader that stops reading would have stopped the daemon; volume had no bound. Change: lines beyond 400 a second (2,000 at once) or a full buffer are dropped and counted.

--- a/src/jaypier/daemon/logs.py
+++ b/src/jaypier/daemon/logs.py
@@ -1,12 +1,79 @@
-"""Logging: lines only for changes of state; everything else is counted."""
+"""Structured log lines on standard output: bounded in volume, never blocking."""
 
 import logging
+import os
+import select
 import sys
 
 import structlog
 
+from jaypier.core.clock import Clock, MonotonicClock
 from jaypier.daemon.settings import LogSettings
 
+LINES_PER_SECOND = 400
+"""Lines that are written in the long run; a busy leader writes about 200 a second."""
+
+BURST_LINES = 2000
+"""Lines that may come at once, for take-overs with many workers."""
+
+BUFFER_BYTES = 256 * 1024
+"""Bytes that wait for a reader that is slow; further lines are dropped."""
+
+PIPE_BYTES = 4096
+"""Bytes that a pipe takes without blocking when it is said to be writable."""
+
+
+class LineWriter:
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Lines beyond the rate, or that do not fit the buffer, are dropped; the next line that is
+    written tells how many.
+    """
+
+    def __init__(self, descriptor: int, clock: Clock | None = None) -> None:
+        self.descriptor = descriptor
+        self.clock = clock or MonotonicClock()
+        self.buffer = bytearray()
+        self.allowance = float(BURST_LINES)
+        self.filled_at = self.clock.now()
+        self.dropped = 0
+
+    def msg(self, message: str) -> None:
+        """Write a line, or drop it."""
+        if not self.take_allowance():
+            self.dropped += 1
+            return
+        if self.dropped:
+            note = f'{{"event": "log lines dropped", "count": {self.dropped}}}\n'
+            self.buffer += note.encode()
+            self.dropped = 0
+        self.buffer += message.encode("utf-8", "replace") + b"\n"
+        self.flush()
+
+    log = debug = info = warning = error = critical = exception = msg
+
+    def take_allowance(self) -> bool:
+        """Return whether one more line may be written now."""
+        now = self.clock.now()
+        refill = (now - self.filled_at) * LINES_PER_SECOND
+        self.allowance = min(float(BURST_LINES), self.allowance + refill)
+        self.filled_at = now
+        if self.allowance < 1 or len(self.buffer) > BUFFER_BYTES:
+            return False
+        self.allowance -= 1
+        return True
+
+    def flush(self) -> None:
+        """Write what the reader takes at once."""
+        while self.buffer and select.select([], [self.descriptor], [], 0)[1]:
+            try:
+                written = os.write(self.descriptor, self.buffer[:PIPE_BYTES])
+            except OSError:
+                # Nobody reads the log any more, and there is nowhere else to say so.
+                self.buffer.clear()
+                return
+            del self.buffer[:written]
+
 
 def configure_logs(settings: LogSettings, daemon_id: str) -> None:
     """Send log lines to standard output as JSON or for a console."""
@@ -15,6 +82,7 @@
         if settings.format == "json"
         else structlog.dev.ConsoleRenderer(colors=False)
     )
+    writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -26,6 +94,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, settings.level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=lambda *args: writer,
     )
     structlog.contextvars.bind_contextvars(daemon=daemon_id)
--- /dev/null
+++ b/src/jaypier/daemon/tests/test_logs.py
@@ -0,0 +1,43 @@
+import fcntl
+import os
+
+from jaypier.core.clock import VirtualClock
+from jaypier.daemon.logs import BUFFER_BYTES, BURST_LINES, LineWriter
+
+
+class TestLineWriter:
+    def test_lines_are_written_whole_and_in_order(self):
+        reader, descriptor = os.pipe()
+        writer = LineWriter(descriptor)
+        for number in range(3):
+            writer.msg(f"line {number}")
+        assert os.read(reader, 100) == b"line 0\nline 1\nline 2\n"
+
+    def test_reader_that_does_not_read_blocks_nothing(self):
+        reader, descriptor = os.pipe()
+        fcntl.fcntl(reader, fcntl.F_SETPIPE_SZ, 4096)
+        writer = LineWriter(descriptor)
+        for number in range(BURST_LINES):
+            writer.msg("x" * 1000 + str(number))
+        assert len(writer.buffer) <= BUFFER_BYTES + 2000
+        assert writer.dropped > 0
+
+    def test_lines_beyond_the_rate_are_dropped_and_counted(self):
+        reader, descriptor = os.pipe()
+        clock = VirtualClock()
+        writer = LineWriter(descriptor, clock)
+        for _ in range(BURST_LINES):
+            writer.msg("")
+        os.read(reader, 2 * BURST_LINES)
+        writer.msg("second")
+        clock.advance(1.0)
+        writer.msg("third")
+        text = os.read(reader, 1000).decode()
+        assert "second" not in text
+        assert '"count": 1' in text
+        assert text.endswith("third\n")
+
+    def test_closed_reader_is_survived(self):
+        reader, descriptor = os.pipe()
+        os.close(reader)
+        LineWriter(descriptor).msg("nobody reads this")
