Slow workers by fresh samples; decisions within a third of the processor

A pass of decisions took 148 ms with 56 blocked jobs and 176 workers, and ran after every report. Change: time instead of reports, no samples while a run starts up, gangs only when they stand still; passes prune steps no narrower than one that did not fit, and pause for twice their own length.

--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -75,6 +75,7 @@
         self.workers: dict[str, Worker] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.changed: set[str] = set()
+        self.releases = 0
         self.cancelled: set[str] = set()
         self.orphans: dict[str, Orphan] = {}
         self.estimates: dict[str, EstimateRecord] = defaultdict(EstimateRecord)
@@ -155,7 +156,7 @@
         elif entry.born != worker.born:
             self.reset_worker(worker, entry.born)
             worker.clock, worker.clock_at = entry.clock, now
-        worker.entry = entry
+        worker.update(entry)
         worker.is_listed = True
         return worker
 
@@ -224,6 +225,7 @@
     def end_run(self, run: Run) -> None:
         """Free what a run held, without a word on how it ended."""
         run.worker.release(run)
+        self.releases += 1
         found = self.find_task(run.task)
         if found is not None and found[1].run is run:
             found[1].run = None
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -52,7 +52,11 @@
 IDLE_CHECK_SECONDS = 1.0
 """Time between two checks whether an idle worker has to be asked who leads it."""
 
-TICK_SECONDS = 0.1
+PASS_PAUSE_FACTOR = 2.0
+"""Pause before a pass of decisions against the length of the last one, so that decisions take a
+third of the processor at most and events of a burst are decided together."""
+
+TICK_SECONDS = 0.2
 """Time between two checks of leases and delays."""
 
 STORE_RETRY_SECONDS = 0.25
@@ -357,8 +361,10 @@
         """Decide whenever something has changed."""
         for session in self.sessions.values():
             self.spawn(session.run(), f"session {session.worker.id}")
+        pass_seconds = 0.0
         while True:
             await self.decide.wait()
+            await asyncio.sleep(PASS_PAUSE_FACTOR * pass_seconds)
             self.decide.clear()
             self.settle()
             self.stop_runs(list(self.board.runs_to_stop()), "no more use")
@@ -366,7 +372,8 @@
             if self.has_authority:
                 began = self.clock.now()
                 plan = self.planner.plan(began, self.wall())
-                self.metrics.record("leader.plan", self.clock.now() - began)
+                pass_seconds = self.clock.now() - began
+                self.metrics.record("leader.plan", pass_seconds)
                 self.stop_runs(plan.stops, "preempted")
                 for run in plan.starts:
                     self.spawn(self.start_run(run), f"start {run.task}")
@@ -642,6 +649,7 @@
         if self.has_ended:
             return
         now = leader.clock.now()
+        was_known, releases = worker.is_known, leader.board.releases
         ends, unknown = leader.board.report(worker, report, sent_at, now)
         if was_unreachable:
             log.info("worker in reach", worker=worker.id)
@@ -657,7 +665,8 @@
             leader.stop_unknown(each)
         if ends:
             leader.save.set()
-        leader.decide.set()
+        if releases != leader.board.releases or was_unreachable or not was_known:
+            leader.decide.set()
 
     async def pause(self) -> None:
         """Wait until the worker has to be asked again."""
--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -39,16 +39,14 @@
 
     def copies_within(self, room: "Resources") -> int:
         """Return how many times this amount fits in ``room``."""
-        ratios = [
-            have // need
-            for need, have in (
-                (self.processor_millis, room.processor_millis),
-                (self.memory_mb, room.memory_mb),
-                (self.accelerators, room.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(ratios, default=1_000_000))
+        copies = 1_000_000
+        if self.accelerators > 0:
+            copies = room.accelerators // self.accelerators
+        if self.processor_millis > 0:
+            copies = min(copies, room.processor_millis // self.processor_millis)
+        if self.memory_mb > 0:
+            copies = min(copies, room.memory_mb // self.memory_mb)
+        return max(0, copies)
 
 
 @attrs.frozen
--- a/src/jaypier/jobs/pace.py
+++ b/src/jaypier/jobs/pace.py
@@ -25,8 +25,11 @@
 """Progress against the estimate below which a worker is slow: trusted estimates are within a factor
 of 1.5, slow workers take 4 times as long and more."""
 
-SLOW_REPORTS = 2
-"""Slow reports in a row after which a worker is avoided."""
+SLOW_SECONDS = 1.8
+"""Time for which a worker has to be slow before it is avoided: two samples."""
+
+WARM_UP_SECONDS = 1.0
+"""Time after a run's start in which it is not sampled: it starts up or restores a checkpoint."""
 
 SLOW_AVOID_SECONDS = 3.0
 """Time for which a slow worker is avoided after its newest slow report."""
@@ -67,6 +70,8 @@
 
 def sample_pace(run: Run, now: float) -> None:
     """Take a sample of a run's progress."""
+    if now < run.started_at + WARM_UP_SECONDS:
+        return
     if run.sampled_at > now:
         run.sampled_percent, run.sampled_at = run.percent, now
         return
@@ -93,21 +98,22 @@
         and not run.is_stopping
         and estimates[run.step.job.job.queue].is_reliable
     ]
-    if not paces:
+    if not paces or median(paces) >= SLOW_PACE:
+        worker.slow_since = math.inf
         return
-    worker.slow_reports = worker.slow_reports + 1 if median(paces) < SLOW_PACE else 0
-    if is_slow(worker):
+    worker.slow_since = min(worker.slow_since, now)
+    if is_slow(worker, now):
         worker.avoid_until = max(worker.avoid_until, now + SLOW_AVOID_SECONDS)
 
 
-def is_slow(worker: Worker) -> bool:
+def is_slow(worker: Worker, now: float) -> bool:
     """Whether a worker's tasks have been much slower than estimated for a while."""
-    return worker.slow_reports >= SLOW_REPORTS
+    return now - worker.slow_since >= SLOW_SECONDS
 
 
 def runs_to_move(board: "JobBoard", now: float) -> list[Run]:
     """Mark and return runs that end sooner if they are started again elsewhere."""
-    if sum(is_slow(worker) for worker in board.workers.values()) * 2 > len(board.workers):
+    if sum(is_slow(worker, now) for worker in board.workers.values()) * 2 > len(board.workers):
         return []
     moving = []
     for worker in board.workers.values():
@@ -115,17 +121,17 @@
             if run.is_stopping or not run.is_confirmed:
                 continue
             if run.step.step.is_gang:
-                if stands_still(run, now) or (is_slow(worker) and run.percent < 50):
+                if stands_still(run, now):
                     moving += leave_gang(board, run)
-            elif gains_by_moving(board, run):
+            elif gains_by_moving(board, run, now):
                 run.step.tasks[run.task.index].failed_on.add(worker.id)
                 moving += [run] if board.mark_stopping(run) else []
     return moving
 
 
-def gains_by_moving(board: "JobBoard", run: Run) -> bool:
+def gains_by_moving(board: "JobBoard", run: Run, now: float) -> bool:
     """Whether a task that works alone is on a slow worker and has much left or saved."""
-    is_slow_here = is_slow(run.worker) and run.pace is not None and run.pace < SLOW_PACE
+    is_slow_here = is_slow(run.worker, now) and run.pace is not None and run.pace < SLOW_PACE
     is_trusted = board.estimates[run.step.job.job.queue].is_reliable
     return is_slow_here and is_trusted and (run.step.step.saves or run.percent < 50)
 
--- a/src/jaypier/jobs/placing.py
+++ b/src/jaypier/jobs/placing.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Sequence
+from operator import itemgetter
 
 import attrs
 
@@ -48,18 +49,19 @@
     wide gangs; ties are broken by free processors.
     """
     placed = placed or Counter()
-    found = [
-        Room(worker, room_of(step, worker, free_of(worker), placed[worker.id]))
-        for worker in workers
-    ]
-    near = step.data_rack
-
-    def tightness(room: Room) -> tuple:
-        free = free_of(room.worker)
-        is_far = bool(near) and room.worker.entry.rack != near
-        return (is_far, free.accelerators, free.processor_millis, room.worker.id)
-
-    return sorted((room for room in found if room.tasks > 0), key=tightness)
+    demand, near = step.demand, step.data_rack
+    found = []
+    for worker in workers:
+        free = free_of(worker)
+        if free.accelerators < demand.accelerators:
+            continue
+        tasks = room_of(step, worker, free, placed[worker.id])
+        if tasks > 0:
+            is_far = bool(near) and worker.entry.rack != near
+            order = (is_far, free.accelerators, free.processor_millis, worker.id)
+            found.append((order, Room(worker, tasks)))
+    found.sort(key=itemgetter(0))
+    return [room for _, room in found]
 
 
 def fill(found: Sequence[Room], count: int) -> list[Worker]:
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -5,7 +5,9 @@
 left, and urgent jobs within their team's guarantee go first and may stop others.
 """
 
+import math
 from collections import Counter, defaultdict, deque
+from operator import attrgetter
 
 import attrs
 
@@ -43,6 +45,9 @@
 HELD_SHARE = 0.35
 """Share of the workers that may be kept for gangs at a time; the rest serves what fits now."""
 
+DISPLACING_STEPS = 6
+"""Urgent steps for which others are stopped in one pass, so that a pass in a burst stays short."""
+
 RESERVATION_SECONDS = 2.0
 """Time for which freed capacity is kept for the job it was freed for: a stop and two reports."""
 
@@ -137,29 +142,54 @@
             return Plan([], [], len(self.board.jobs))
         self.held = {}
         self.choose_headroom(workers, now)
-        refused: set[tuple] = set()
+        refused: dict[tuple, int] = {}
+        displacing = 0
         for state in self.order(now, wall):
             for step in state.steps:
                 if not step.is_startable or not step.waiting:
                     continue
-                signature = (step.step.demand, step.step.label, step.step.max_per_worker)
-                is_single = not step.step.is_gang
+                signature = self.signature(step)
                 is_urgent = state.job.priority == URGENT_PRIORITY
-                if is_single and not is_urgent and signature in refused:
-                    blocked += 1
-                    continue
-                begun = self.place(step, workers, now)
-                starts += begun
-                if step.waiting:
-                    blocked += 1
-                    if is_urgent and not begun:
-                        stops += self.make_room(step, workers, now)
-                    elif is_single and not step.step.max_per_worker and not self.held:
-                        refused.add(signature)
-                    if not is_single:
-                        self.hold_workers(step, workers, now)
+                if step.step.count < refused.get(signature, math.inf):
+                    begun = self.place(step, workers, now)
+                    starts += begun
+                    if not step.waiting:
+                        continue
+                    if not begun:
+                        refused[signature] = step.step.count if step.step.is_gang else 0
+                        if step.step.is_gang and not is_urgent:
+                            self.hold_workers(step, workers, now)
+                blocked += 1
+                may_displace = is_urgent and not step.runs and displacing < DISPLACING_STEPS
+                if may_displace and not self.has_reservation(step):
+                    displacing += 1
+                    stops += self.make_room(step, workers, now)
         return Plan(starts, stops, blocked)
 
+    def has_reservation(self, step: StepState) -> bool:
+        """Whether capacity is being freed for a step."""
+        return any(each.step is step for each in self.reservations)
+
+    def signature(self, step: StepState) -> tuple:
+        """Return what decides whether a step fits: where one does not, no wider one does.
+
+        A reservation is for one step only, and tasks that failed choose among other workers.
+        """
+        own = self.has_reservation(step)
+        is_retry = any(task.failed_on for task in step.tasks)
+        return (
+            step.step.demand,
+            step.step.label,
+            step.step.data_rack,
+            step.step.max_per_worker,
+            step.step.is_gang,
+            step.step.is_rack_local,
+            step.job.job.service,
+            step.job.job.priority == URGENT_PRIORITY,
+            round(step.step.estimated_seconds) if self.held else 0,
+            id(step) if own or is_retry else 0,
+        )
+
     def order(self, now: float, wall: float) -> list[JobState]:
         """Return the jobs that may start tasks, the first to go first.
 
@@ -227,6 +257,8 @@
             if reservation.step is not step:
                 for worker_id, amount in reservation.amounts.items():
                     reserved[worker_id] = reserved[worker_id] + amount
+        if not reserved:
+            return attrgetter("free")
         return lambda worker: (
             worker.free - reserved[worker.id] if worker.id in reserved else worker.free
         )
@@ -361,7 +393,7 @@
 
     def make_room(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
         """Stop runs of lower priority so that an urgent step fits; return them."""
-        if any(each.step is step for each in self.reservations):
+        if self.has_reservation(step):
             return []
         free_of = self.free_for(step)
         candidates = [worker for worker in workers if worker.entry.service == step.job.job.service]
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -167,6 +167,7 @@
 class Worker:
     """One worker.
 
+    :param free: what no run holds.
     :param is_listed: whether the platform lists it.
     :param is_known: whether it has reported to the present leader.
     :param born: start of the process that reported last, in Unix milliseconds.
@@ -176,7 +177,7 @@
     :param processed: number of the last end that decisions know of.
     :param durable: number of the last end that the store knows of.
     :param failures: failed runs since the last good one.
-    :param slow_reports: reports in a row in which its tasks were much slower than estimated.
+    :param slow_since: local time since when its tasks have been much slower than estimated.
     :param avoid_until: local time until which others are preferred.
     """
 
@@ -191,22 +192,19 @@
     processed: int = 0
     durable: int = 0
     failures: int = 0
-    slow_reports: int = 0
+    slow_since: float = math.inf
     avoid_until: float = -math.inf
     is_unreachable: bool = False
-    used: Resources = attrs.field(factory=Resources)
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
+    free: Resources = attrs.field(
+        default=attrs.Factory(lambda self: self.entry.capacity, takes_self=True)
+    )
 
     @property
     def id(self) -> str:
         """Identity of the worker."""
         return self.entry.id
 
-    @property
-    def free(self) -> Resources:
-        """What no run holds."""
-        return self.entry.capacity - self.used
-
     def clock_now(self, now: float) -> int:
         """Return the worker's estimated clock in milliseconds."""
         return self.clock + int((now - self.clock_at) * 1000)
@@ -214,12 +212,17 @@
     def hold(self, run: Run) -> None:
         """Count a run's demand."""
         self.runs[run.key] = run
-        self.used = self.used + run.step.step.demand
+        self.free = self.free - run.step.step.demand
 
     def release(self, run: Run) -> None:
         """Free a run's demand."""
         if self.runs.pop(run.key, None) is not None:
-            self.used = self.used - run.step.step.demand
+            self.free = self.free + run.step.step.demand
+
+    def update(self, entry: WorkerEntry) -> None:
+        """Take in a new entry, whose capacity may differ."""
+        self.free = self.free + (entry.capacity - self.entry.capacity)
+        self.entry = entry
 
 
 def core_equivalent(demand: Resources) -> float:
