--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -45,12 +45,8 @@
 HELD_SHARE = 0.35
 """Share of the workers that may be kept for gangs at a time; the rest serves what fits now."""
 
-DISPLACED_SHARE = 0.15
-"""Work that may be lost for a gang that is not urgent, against its own: tasks that restore a
-checkpoint in 0.6 s lose a tenth of their work, others are left alone."""
-
 DISPLACING_STEPS = 6
-"""Steps for which others are stopped in one pass, so that a pass in a burst stays short."""
+"""Urgent steps for which others are stopped in one pass, so that a pass in a burst stays short."""
 
 RESERVATION_SECONDS = 2.0
 """Time for which freed capacity is kept for the job it was freed for: a stop and two reports."""
@@ -164,11 +160,10 @@
                         if step.step.is_gang and not is_urgent:
                             self.hold_workers(step, workers, now)
                 blocked += 1
-                may_displace = (is_urgent or step.step.is_gang) and not step.runs
+                may_displace = is_urgent and not step.runs and not self.has_reservation(step)
                 if may_displace and displacing < DISPLACING_STEPS:
-                    displacing += not self.has_reservation(step)
-                    limit = self.displacing_limit(state, now, wall)
-                    stops += self.make_room(step, workers, now, limit)
+                    displacing += 1
+                    stops += self.make_room(step, workers, now)
         return Plan(starts, stops, blocked)
 
     def has_reservation(self, step: StepState) -> bool:
@@ -271,7 +266,7 @@
     def place(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
         """Assign the waiting tasks of a step to workers, a gang whole or not at all."""
         free_of = self.free_for(step)
-        candidates = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        candidates = self.candidates(step, workers, now)
         if step.step.is_gang:
             failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
             untried = [worker for worker in candidates if worker.id not in failed_on]
@@ -396,34 +391,18 @@
 
     # Preemption
 
-    def displacing_limit(self, state: JobState, now: float, wall: float) -> float:
-        """Return the core-seconds that may be lost so that a job starts at once."""
-        if state.job.priority == URGENT_PRIORITY:
-            return math.inf
-        is_in_time = wall - state.job.submitted_at + state.remaining_chain() <= (
-            state.job.objective_seconds
-        )
-        return DISPLACED_SHARE * state.remaining_work() if is_in_time else 0.0
-
-    def make_room(
-        self, step: StepState, workers: list[Worker], now: float, limit: float
-    ) -> list[Run]:
-        """Stop runs of lower priority so that a step fits; return them.
-
-        :param limit: core-seconds that may be lost.
-        """
+    def make_room(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
+        """Stop runs of lower priority so that an urgent step fits; return them."""
         if self.has_reservation(step):
             return []
         free_of = self.free_for(step)
-        candidates = [worker for worker in workers if worker.entry.service == step.job.job.service]
+        candidates = self.candidates(step, workers, now)
         groups = by_rack(candidates).values() if step.step.is_rack_local else [candidates]
         options = [self.cheapest_victims(step, list(group), free_of, now) for group in groups]
         options = [option for option in options if option is not None]
         if not options:
             return []
-        cost, victims, amounts = min(options, key=lambda option: option[0])
-        if cost > limit:
-            return []
+        _, victims, amounts = min(options, key=lambda option: option[0])
         self.reservations.append(Reservation(step, amounts, now + RESERVATION_SECONDS))
         whole = {
             each for run in victims for each in (run.step.runs if run.step.step.is_gang else [run])
