--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -28,7 +28,7 @@
 HOPELESS_SHARE = 0.01
 """Worth of a job that comes too late for its caller: it still runs where there is room."""
 
-HEADROOM_SECONDS = 1.5
+HEADROOM_SECONDS = 1.0
 """Urgent arrivals for which accelerators are kept free: stopping others takes about 1 s, which is
 most of the slack that an urgent job has."""
 
@@ -42,7 +42,7 @@
 ARRIVALS_SECONDS = 12.0
 """Time over which urgent arrivals are averaged: twice the usual length of a burst."""
 
-HELD_SHARE = 0.35
+HELD_SHARE = 0.15
 """Share of the workers that may be kept for gangs at a time; the rest serves what fits now."""
 
 DISPLACING_STEPS = 6
