--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from jaypier.core.codec import DecodeError, from_plain, to_plain
+from jaypier.core.codec import from_plain, to_plain
 from jaypier.jobs.model import Job
 from jaypier.jobs.progress import JobProgress
 from jaypier.platform import Condition, ConditionFailed, FollowedTable, Put, Row, Transaction
@@ -126,16 +126,3 @@
         """
         row = await self.table.read(PENDING_KEY)
         return dict(row.value) if row is not None and row.value else {}
-
-
-__all__ = [
-    "DecodeError",
-    "JobChanges",
-    "JobTable",
-    "cancel_key",
-    "decode_job_row",
-    "decode_job_rows",
-    "decode_progress",
-    "job_key",
-    "progress_key",
-]
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -23,30 +23,18 @@
 class Bounds:
     """Time limits that the platform promises to its users or asks of jaypier, in seconds.
 
-    :param configuration: time in which a configuration has to be in force.
     :param revocation: time after which a removed key must not be accepted by any VM.
     :param lease: longest lease that a worker grants to what runs on it.
-    :param stop: time that a worker takes to stop a task.
-    :param gang_wait: time that the tasks of a gang wait for each other on their workers.
     :param grace: time between SIGTERM and SIGKILL.
-    :param reclaim: time in which urgent jobs within a team's guarantee have to start.
-    :param checkpoint_interval: time of work between two checkpoints.
     :param restore: time that a worker needs to restore a checkpoint.
     :param status: time for which the state of an ended job can be asked for.
-    :param remote_factor: slow-down of rack-local gangs that run on several racks.
     """
 
-    configuration: float = 2.0
     revocation: float = 5.0
     lease: float = 6.0
-    stop: float = 0.4
-    gang_wait: float = 3.0
     grace: float = 6.0
-    reclaim: float = 2.9
-    checkpoint_interval: float = 1.0
     restore: float = 0.5
     status: float = 120.0
-    remote_factor: float = 3.0
 
 
 @attrs.frozen
@@ -56,22 +44,18 @@
     :param name: name of this VM.
     :param callers: address for callers.
     :param readiness: address of the platform's readiness probe.
-    :param peer: address for messages between daemons.
     :param metrics: address of counters and histograms.
     :param store: address of the platform's store.
     :param processor_share: speed of this VM in cores.
-    :param memory_mb: memory limit of this process.
     """
 
     name: str
     data_centre: str
     callers: Address
     readiness: Address
-    peer: Address
     metrics: Address
     store: Address
     processor_share: float
-    memory_mb: int
     bounds: Bounds
 
 
@@ -99,11 +83,9 @@
         data_centre=str(values["Zone"]),
         callers=Address.parse(listen["Frontend"]),
         readiness=Address.parse(listen["Ready"]),
-        peer=Address(values["Ip"], first_port),
         metrics=Address(values["Ip"], first_port + 1),
         store=Address.parse(values["platform"]["Address"]),
         processor_share=float(limits["CpuQuota"]) * float(limits.get("CpuCores", 1)),
-        memory_mb=int(limits["MemoryLimitMb"]),
         bounds=_decode_bounds(values.get("Bounds", {})),
     )
 
@@ -111,19 +93,13 @@
 def _decode_bounds(values: dict[str, Any]) -> Bounds:
     default = Bounds()
     milliseconds = {
-        "configuration": "ConfigApplyMs",
         "revocation": "RevokeTimeoutMs",
         "lease": "MaxHoldMs",
-        "stop": "StopTimeoutMs",
-        "gang_wait": "GangTimeoutMs",
-        "reclaim": "ReclaimTimeoutMs",
         "restore": "RestoreTimeoutMs",
     }
     plain = {
         "grace": "GracePeriodS",
-        "checkpoint_interval": "CheckpointIntervalS",
         "status": "status_s",
-        "remote_factor": "RemoteFactor",
     }
     return Bounds(
         **{
--- a/src/jaypier/platform/tests/test_settings.py
+++ b/src/jaypier/platform/tests/test_settings.py
@@ -20,7 +20,7 @@
 [Bounds]
 MaxHoldMs = 6000
 RevokeTimeoutMs = 5000
-StopTimeoutMs = 400
+RestoreTimeoutMs = 600
 """
 
 
@@ -38,7 +38,8 @@
         assert settings.metrics.port == 7001
         assert settings.processor_share == 1.0
         assert settings.bounds.lease == 6.0
-        assert settings.bounds.stop == 0.4
+        assert settings.bounds.restore == 0.6
+        assert settings.bounds.grace == 6.0
 
     @pytest.mark.parametrize(
         "change, message",
