Keep new ends of a worker that starts again; delete rows that ended before a take-over

Cause: a write of progress noted only the number of a worker's last end, so a process that started again during the write could be told to forget an end with that number before it was durable. Jobs that had ended before a take-over had no time of their end, so their rows were never deleted. 'job recorded' was logged before the store had confirmed it. Ruled out: taking the recorded Unix time of the end: clocks of VMs step, rows could go early; the take-over counts. Change: the write notes the start of the worker's process as well; load dates ended jobs; the line follows the write. Plan.blocked, LeaderLedger.writes and StoreTable.calls, which nobody read, are gone.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -162,6 +162,9 @@
         self.board.cancelled.update(changes.cancelled)
         for job in changes.accepted:
             state = restore_job(job, decode_progress(kept.get(job.id)))
+            if state.status.is_final:
+                # Not from the recorded Unix time: clocks of VMs differ, and rows must not go early.
+                state.ended_at = self.clock.now()
             self.board.insert(state)
             self.planner.note_job(state, self.clock.now())
         self.jobs_version = jobs.version
--- a/src/jaypier/jobs/ledger.py
+++ b/src/jaypier/jobs/ledger.py
@@ -55,7 +55,6 @@
         self.clock = clock
         self.confirmed_at = clock.now()
         self.renewed_at = clock.now()
-        self.writes = 0
 
     async def open(self) -> None:
         """Read the present turn."""
@@ -84,7 +83,6 @@
     async def try_write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
         """Make one attempt to write rows."""
         conditions = [Condition(LEADER_KEY, self.version), Condition(TURN_KEY, self.turn_version)]
-        self.writes += 1
         own: list[Put] = [Put(TURN_KEY, self.leadership.epoch)]
         if renew:
             self.leadership = attrs.evolve(
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -67,12 +67,10 @@
 
     :param starts: runs to start; their capacity is taken.
     :param stops: runs to stop, for jobs that go before theirs.
-    :param blocked: jobs with tasks that could start but do not fit now.
     """
 
     starts: list[Run]
     stops: list[Run]
-    blocked: int
 
 
 class Planner:
@@ -136,10 +134,9 @@
         ]
         starts: list[Run] = []
         stops: list[Run] = []
-        blocked = 0
         workers = self.usable_workers(now)
         if not workers:
-            return Plan([], [], len(self.board.jobs))
+            return Plan([], [])
         self.held = {}
         self.choose_headroom(workers, now)
         refused: dict[tuple, int] = {}
@@ -159,12 +156,11 @@
                         refused[signature] = step.step.count if step.step.is_gang else 0
                         if step.step.is_gang and not is_urgent:
                             self.hold_workers(step, workers, now)
-                blocked += 1
                 may_displace = is_urgent and not step.runs and not self.has_reservation(step)
                 if may_displace and displacing < DISPLACING_STEPS:
                     displacing += 1
                     stops += self.make_room(step, workers, now)
-        return Plan(starts, stops, blocked)
+        return Plan(starts, stops)
 
     def has_reservation(self, step: StepState) -> bool:
         """Whether capacity is being freed for a step."""
--- a/src/jaypier/jobs/saving.py
+++ b/src/jaypier/jobs/saving.py
@@ -58,7 +58,7 @@
         changed = list(itertools.islice(self.leader.board.changed, MAX_ROWS))
         self.leader.board.changed.difference_update(changed)
         processed = {
-            worker.id: worker.processed
+            worker.id: (worker.born, worker.processed)
             for worker in self.leader.board.workers.values()
             if worker.processed > worker.durable
         }
@@ -73,11 +73,12 @@
         puts += self.pending_put()
         puts += self.workers_put()
         ended = [state.job.id for state in states if state.status.is_final]
-        for state in states:
-            log.info("job recorded", job=state.job.id, status=str(state.status))
+        recorded = [(state.job.id, str(state.status)) for state in states]
         renew = self.renewal_wait() <= 0.0
         if puts or renew:
             await self.leader.ledger.write(puts, [], renew)
+        for job_id, status in recorded:
+            log.info("job recorded", job=job_id, status=status)
         for job_id in ended:
             self.leader.board.jobs[job_id].ended_at = self.leader.clock.now()
         if covers_all:
@@ -86,11 +87,15 @@
             self.wanted.set()
         await self.delete_expired()
 
-    def let_workers_forget(self, processed: dict[str, int]) -> None:
-        """Note that ends are durable, so that workers need not keep them."""
-        for worker_id, number in processed.items():
+    def let_workers_forget(self, processed: dict[str, tuple[int, int]]) -> None:
+        """Note that ends are durable, so that workers need not keep them.
+
+        :param processed: for each worker, the start of its process and the number of its last end
+            that was known when the write began.
+        """
+        for worker_id, (born, number) in processed.items():
             worker = self.leader.board.workers.get(worker_id)
-            if worker is not None and worker.processed >= number:
+            if worker is not None and worker.born == born:
                 worker.durable = max(worker.durable, number)
                 self.leader.sessions[worker_id].kick.set()
 
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -47,7 +47,6 @@
     def __init__(self, address: Address, timeout: float = CALL_SECONDS) -> None:
         self.timeout = timeout
         self.pool = ConnectionPool(address, max_body=MAX_ANSWER_BYTES)
-        self.calls = 0
         self.clock_offset = 0.0
 
     def close(self) -> None:
@@ -136,7 +135,6 @@
 
     async def call(self, request: HttpRequest, timeout: float) -> HttpResponse:
         """Make one call, turning errors of the transport into the platform's."""
-        self.calls += 1
         try:
             async with asyncio.timeout(timeout + 0.1):
                 return await self.pool.exchange(request, timeout)
