Jobs that must not be started twice, and jobs that must not be stopped for others

The product's own interface promises both; the core knew neither, so it could not serve it. A job that is not repeatable is ordered to start only after the store knows that it may have been started; a successor that finds it neither at work nor ended tells its outcome as unknown. The mark is written under the leadership's condition, so none can appear after a successor has read the job. Ruled out: a mark when the job is accepted (a take-over in the queue would lose it). Jobs of the users' platform are all repeatable: nothing changes for them.

--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -170,7 +170,7 @@
     def lose_runs(self, worker: Worker) -> None:
         """Note that nothing runs on a worker any more."""
         for run in list(worker.runs.values()):
-            self.end_run(run)
+            self.lose_run(run)
 
     def expire(self, now: float) -> list[Worker]:
         """Note the workers whose lease has run out without a report."""
@@ -211,8 +211,27 @@
         run.is_stopping = True
         return True
 
+    def lose_run(self, run: Run) -> None:
+        """Note that a run has ended without a word on how far it came."""
+        self.end_run(run)
+        self.give_up_single_start(run.step.job)
+
+    def give_up_single_start(self, state: JobState) -> None:
+        """End a job that must not be started again, as nobody can tell what its run has done."""
+        if not state.job.is_repeatable and not state.status.is_final:
+            self.end_job(state, JobStatus.UNKNOWN)
+
+    def give_up_lost_jobs(self) -> None:
+        """End jobs that an earlier leader started, of which nothing runs, and that have one start.
+
+        To be called once every worker has reported.
+        """
+        for state in self.jobs.values():
+            if state.is_recovered and state.has_started and not any(state.runs):
+                self.give_up_single_start(state)
+
     def end_run(self, run: Run) -> None:
-        """Free what a run held, without a word on how it ended."""
+        """Free what a run held."""
         run.worker.release(run)
         self.releases += 1
         found = self.find_task(run.task)
@@ -261,7 +280,7 @@
         for run in list(worker.runs.values()):
             is_complete = sent_at > run.settled_at or report.clock > run.order_deadline
             if run.key not in active and is_complete:
-                self.end_run(run)
+                self.lose_run(run)
         judge_worker(worker, self.estimates, now)
         return new_ends, unknown
 
@@ -328,6 +347,8 @@
             self.finish_task(step, task)
         elif end.end is RunEnd.FAILED:
             self.fail_task(worker, step, task, end.attempt, now)
+        if end.end not in (RunEnd.DONE, RunEnd.PEERS_MISSING):
+            self.give_up_single_start(state)
         self.changed.add(state.job.id)
 
     def finish_task(self, step: StepState, task: TaskState) -> None:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -374,6 +374,7 @@
         if not self.has_adopted and not self.board.missing_workers:
             self.has_adopted = True
             self.board.tear_down_partial_gangs()
+            self.board.give_up_lost_jobs()
             log.info("workers adopted", epoch=self.epoch, seconds=now - self.took_over_at)
 
     async def run_ticks(self) -> None:
@@ -409,13 +410,17 @@
         """Order a run to start, until the worker has answered."""
         worker = run.worker
         session = self.sessions[worker.id]
-        now = self.clock.now()
-        deadline = worker.clock_now(now) + int(self.settings.lease_seconds * 1000)
-        run.order_deadline = deadline
-        self.board.extend_lease(worker, deadline, now)
+        self.extend_lease(run)
         session.kick.set()
         state = run.step.job
+        if not state.job.is_repeatable:
+            if not await self.saver.wait_start_recorded(state, START_PATIENCE_SECONDS):
+                log.info("start not recorded", task=str(run.task), attempt=run.attempt)
+                self.board.take_start_answer(run, StartAnswer.EXPIRED, self.clock.now())
+                return
+            self.extend_lease(run)
         task = run.step.tasks[run.task.index]
+        deadline = run.order_deadline
         order = StartOrder(run.task, run.attempt, state.job.payload, task.checkpoint, deadline)
         for tries in itertools.count(1):
             if run.is_stopping or worker.runs.get(run.key) is not run:
@@ -449,6 +454,12 @@
         if answer is not StartAnswer.STARTED:
             self.decide.set()
 
+    def extend_lease(self, run: Run) -> None:
+        """Note how long the order to start a run may keep its worker at work."""
+        worker, now = run.worker, self.clock.now()
+        run.order_deadline = worker.clock_now(now) + int(self.settings.lease_seconds * 1000)
+        self.board.extend_lease(worker, run.order_deadline, now)
+
     async def stop_run(self, run: Run) -> None:
         """Order a run to stop, until the worker has answered or the run is gone."""
         worker = run.worker
--- a/src/jaypier/jobs/leaving.py
+++ b/src/jaypier/jobs/leaving.py
@@ -26,7 +26,8 @@
     taken: list[Run] = []
     for worker in leaving:
         for run in worker.runs.values():
-            if run.is_stopping or not is_worth_moving(run, worker.leaves_at - now, now):
+            is_fixed = run.is_stopping or not run.step.job.job.is_preemptible
+            if is_fixed or not is_worth_moving(run, worker.leaves_at - now, now):
                 continue
             if run.step.step.is_gang:
                 taken += leave_gang(board, run)
--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -92,6 +92,8 @@
     :param target_seconds: time that is added to that.
     :param submitted_at: Unix time of its acceptance, in seconds.
     :param payload: what its tasks run; passed on unread.
+    :param is_preemptible: whether its runs may be stopped for other work.
+    :param is_repeatable: whether a task that has been started may be started again.
     """
 
     id: str
@@ -105,6 +107,8 @@
     submitted_at: float
     payload: str
     steps: tuple[Step, ...]
+    is_preemptible: bool = True
+    is_repeatable: bool = True
 
     def chain_seconds(self) -> float:
         """Return the estimated duration of its longest chain of steps."""
@@ -133,11 +137,12 @@
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
 
     @property
     def is_final(self) -> bool:
-        """Whether the job has ended."""
-        return self in (JobStatus.COMPLETED, JobStatus.FAILED, JobStatus.CANCELLED)
+        """Whether the job has ended; one that is ``UNKNOWN`` is never started again."""
+        return self not in (JobStatus.QUEUED, JobStatus.RUNNING)
 
 
 @attrs.frozen(order=True)
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -442,7 +442,8 @@
 
     def may_stop(self, run: Run, step: StepState) -> bool:
         """Whether a run gives way to a step, or is on its way out already."""
-        return run.is_stopping or run.step.job.job.priority > step.job.job.priority
+        held, wanted = run.step.job.job, step.job.job
+        return run.is_stopping or (held.is_preemptible and held.priority > wanted.priority)
 
     def loss(self, run: Run, now: float) -> float:
         """Return the core-seconds that are lost if a run is stopped."""
--- a/src/jaypier/jobs/progress.py
+++ b/src/jaypier/jobs/progress.py
@@ -81,7 +81,7 @@
         return state
     state.status = progress.status
     state.attempt = progress.attempt
-    state.has_started = progress.status is not JobStatus.QUEUED
+    state.has_started = state.has_recorded_start = progress.status is not JobStatus.QUEUED
     for step, kept in zip(state.steps, progress.steps, strict=False):
         step.failed_attempts = set(kept.failed_attempts)
         done = set(kept.done)
--- a/src/jaypier/jobs/saving.py
+++ b/src/jaypier/jobs/saving.py
@@ -11,6 +11,7 @@
 from jaypier.jobs.ledger import MAX_ROWS
 from jaypier.jobs.progress import record_progress
 from jaypier.jobs.rows import PENDING_KEY, WORKERS_KEY, cancel_key, job_key, progress_key
+from jaypier.jobs.state import JobState
 from jaypier.platform import Put
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     def __init__(self, leader: "Leader") -> None:
         self.leader = leader
         self.wanted = asyncio.Event()
+        self.written = asyncio.Condition()
         self.saved_pending: dict[str, int] = {}
         self.saved_workers: dict[str, bool] = {}
         self.pending_at = -PENDING_SECONDS
@@ -74,11 +76,13 @@
         puts += self.workers_put()
         ended = [state.job.id for state in states if state.status.is_final]
         recorded = [(state.job.id, str(state.status)) for state in states]
+        started = [state for state in states if state.has_started]
         renew = self.renewal_wait() <= 0.0
         if puts or renew:
             await self.leader.ledger.write(puts, [], renew)
         for job_id, status in recorded:
             log.info("job recorded", job=job_id, status=status)
+        await self.note_started(started)
         for job_id in ended:
             self.leader.board.jobs[job_id].ended_at = self.leader.clock.now()
         if covers_all:
@@ -87,6 +91,22 @@
             self.wanted.set()
         await self.delete_expired()
 
+    async def note_started(self, states: list[JobState]) -> None:
+        """Note that the store knows of the first start of jobs."""
+        for state in states:
+            state.has_recorded_start = True
+        async with self.written:
+            self.written.notify_all()
+
+    async def wait_start_recorded(self, state: JobState, seconds: float) -> bool:
+        """Wait until the store knows that a job may have been started; return whether it does."""
+        try:
+            async with asyncio.timeout(seconds), self.written:
+                await self.written.wait_for(lambda: state.has_recorded_start)
+        except TimeoutError:
+            return False
+        return True
+
     def let_workers_forget(self, processed: dict[str, tuple[int, int]]) -> None:
         """Note that ends are durable, so that workers need not keep them.
 
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -131,6 +131,7 @@
     :param not_before: local time before which none of its tasks is started again.
     :param is_recovered: whether it was accepted before the present leader.
     :param has_started: whether a task of it was ever started.
+    :param has_recorded_start: whether the store knows that a task of it may have been started.
     """
 
     job: Job
@@ -140,6 +141,7 @@
     not_before: float = -math.inf
     is_recovered: bool = False
     has_started: bool = False
+    has_recorded_start: bool = False
     ended_at: float = math.inf
 
     @property
--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -124,6 +124,17 @@
         self.clock = LoopClock(asyncio.get_running_loop())
         self.tasks: dict[str, asyncio.Task] = {}
         self.leaders: dict[str, Leader] = {}
+        self.evacuated: frozenset[str] = frozenset()
+
+    def evacuate(self, *data_centres: str) -> None:
+        """Take data centres out of service; all others are in service."""
+        now = self.clock.now()
+        known = self.cluster.evacuated_at
+        self.cluster.evacuated_at = {name: known.get(name, now) for name in data_centres}
+        self.evacuated = frozenset(data_centres)
+        for leader in self.leaders.values():
+            leader.board.evacuated = self.evacuated
+            leader.decide.set()
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon that leads whenever it is elected."""
@@ -147,6 +158,7 @@
                 self.clock.now,
                 Metrics(),
             )
+            leader.board.evacuated = self.evacuated
             self.leaders[name] = leader
             try:
                 await leader.run()
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import attrs
 import pytest
 
 from jaypier.jobs.tests.builders import LeaderBench, make_job, make_step
@@ -17,6 +18,9 @@
 cannot know of the cancelling then, and the check now counts from the end of the trouble. Seed 22
 failed as a worker that had started again obeyed an order before its new entry was read."""
 
+OPERATOR_SEEDS = range(1000, 1012)
+"""Seeds that also play operators, leaving workers, and jobs that have one start."""
+
 DAEMONS = ("vm-a", "vm-b", "vm-c")
 WORKERS = 8
 TROUBLE_SECONDS = 40.0
@@ -33,11 +37,13 @@
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
         for number in range(WORKERS):
-            worker = self.cluster.add_worker(f"worker-{number}", rack=f"rack-{number % 2}")
+            worker = self.cluster.add_worker(
+                f"worker-{number}", data_centre=f"dc-{number % 2}", rack=f"rack-{number % 2}"
+            )
             worker.rate = self.rng.uniform(0.98, 1.0)
         self.bench = LeaderBench(self.cluster)
         self.jobs = []
-        self.gone: set[str] = set()
+        self.has_operators = seed >= OPERATOR_SEEDS.start
 
     async def run(self) -> None:
         """Play jobs and faults, heal everything, and check."""
@@ -56,6 +62,8 @@
             self.compact,
             self.slow_store,
         ]
+        if self.has_operators:
+            faults += [self.evacuate, self.leave_worker]
         running = []
         while self.bench.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -107,6 +115,11 @@
             max_attempts=50,
             submitted_at=self.bench.clock.now(),
         )
+        if self.has_operators and len(steps) == 1 and self.rng.random() < 0.4:
+            is_preemptible = self.rng.random() < 0.5
+            job = attrs.evolve(
+                job, is_repeatable=False, is_preemptible=is_preemptible, max_attempts=1
+            )
         self.cluster.submit(job)
         self.jobs.append(job)
 
@@ -184,6 +197,19 @@
         if worker.is_up:
             self.cluster.register(worker)
 
+    async def evacuate(self) -> None:
+        self.bench.evacuate(f"dc-{self.rng.randrange(2)}")
+        await self.pause()
+        self.bench.evacuate()
+
+    async def leave_worker(self) -> None:
+        worker = self.pick_worker()
+        if not worker.is_up:
+            return
+        self.cluster.leave(worker)
+        await self.pause()
+        self.cluster.stay(worker)
+
     async def compact(self) -> None:
         self.cluster.store.compact()
 
@@ -196,7 +222,7 @@
 
 
 class TestFuzz:
-    @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
+    @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS, *OPERATOR_SEEDS])
     def test_what_must_hold_holds_under_random_faults(self, seed):
         play(seed)
 
--- a/src/jaypier/platform/callers.py
+++ b/src/jaypier/platform/callers.py
@@ -27,7 +27,9 @@
     JobStatus.COMPLETED: "completed",
     JobStatus.FAILED: "failed",
     JobStatus.CANCELLED: "cancelled",
+    JobStatus.UNKNOWN: "failed",
 }
+"""Every job of the platform may be started again, so none of them ends as ``UNKNOWN``."""
 
 UNSUPPORTED = (
     "LongRunning",
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -56,6 +56,10 @@
 """Time after its cancelling, or after trouble of the store, from which no task of a job may be
 ordered to start. Before, the leader may not know of it; the platform's rule says the same."""
 
+LEAVING_SECONDS = 3.0
+"""Time after which no task may be ordered to start in a data centre that operators have taken out, or
+on a worker that has said that it leaves, unless the store was in trouble."""
+
 ORDER_SECONDS = 0.002
 """Time that an order to a worker takes there and back."""
 
@@ -523,6 +527,8 @@
         self.seen: dict[str, int] = defaultdict(int)
         self.problems: list[str] = []
         self.cancelled_at: dict[str, float] = {}
+        self.evacuated_at: dict[str, float] = {}
+        self.leaving_at: dict[str, float] = {}
         self.is_carrying_out_late = False
         self.ports = itertools.count(1000)
 
@@ -557,6 +563,19 @@
         key = f"servers/{worker.entry.id}"
         self.store.apply(Transaction(puts=[Put(key, {"born": worker.entry.born})]))
 
+    def leave(self, worker: MemoryWorker) -> None:
+        """Let a worker say that it leaves."""
+        worker.entry = attrs.evolve(worker.entry, is_ready=False)
+        self.leaving_at[worker.entry.id] = worker.now
+        self.register(worker)
+
+    def stay(self, worker: MemoryWorker) -> None:
+        """Let a worker take new work again."""
+        worker.entry = attrs.evolve(worker.entry, is_ready=True)
+        self.leaving_at.pop(worker.entry.id, None)
+        if worker.is_up:
+            self.register(worker)
+
     def unregister(self, worker: MemoryWorker) -> None:
         """Remove a worker's entry from the store."""
         self.store.apply(Transaction(deletes=[f"servers/{worker.entry.id}"]))
@@ -603,6 +622,8 @@
         cancelled_at = max(self.cancelled_at.get(run.task.job, now), self.store.troubled_at)
         if not self.is_carrying_out_late and now - cancelled_at > CANCEL_SECONDS:
             self.problems.append(f"{now:.2f} {run.task} starts long after its cancelling")
+        self.check_leaving(worker, run, now)
+        self.check_single_start(run, now)
         for number in run.step.after:
             self.check_step_done(run, number, now)
         self.runs[(run.task, run.attempt, worker.entry.id)] = RecordedRun(
@@ -613,6 +634,28 @@
         else:
             worker.work(run)
 
+    def check_leaving(self, worker: MemoryWorker, run: HeldRun, now: float) -> None:
+        """Check that nothing starts where no new work may go."""
+        since = min(
+            self.evacuated_at.get(worker.entry.data_centre, now),
+            self.leaving_at.get(worker.entry.id, now),
+        )
+        told_at = max(since, self.store.troubled_at)
+        if not self.is_carrying_out_late and now - told_at > LEAVING_SECONDS:
+            self.problems.append(f"{now:.2f} {run.task} starts on {worker.entry.id}, which leaves")
+
+    def check_single_start(self, run: HeldRun, now: float) -> None:
+        """Check that a task that may be started once has not been at work before."""
+        if decode_job_row(self.store.rows[job_key(run.task.job)]).is_repeatable:
+            return
+        earlier = [
+            each
+            for each in self.runs.values()
+            if each.task == run.task and each.how is not RunEnd.PEERS_MISSING
+        ]
+        if earlier:
+            self.problems.append(f"{now:.2f} {run.task} starts again, though it must not")
+
     def counts_as_done(self, run: RecordedRun) -> bool:
         """Whether a good end was taken note of, or still can be.
 
