Limits of the configuration hold for callers' connections: size of head and body, slow and idle ones

Cause: the limits were decoded and nothing read them; a body of up to 1 MB was read, a half-sent request was cut without an answer after 10 s, an idle connection kept for 60 s whatever operators said. Change: the server takes limits that the daemon sets from the configuration in force; a slow request gets 408. Ruled out: limits per request in the front, which sees a request only once it is whole. Before: the tests of TestLimits could not be written (no limits).

--- a/src/jaypier/entry/configuration.py
+++ b/src/jaypier/entry/configuration.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from jaypier.wire.server import Limits
+
 
 @attrs.frozen
 class Route:
@@ -51,22 +53,6 @@
     guaranteed_accelerators: int
 
 
-@attrs.frozen
-class Limits:
-    """Limits on calls.
-
-    :param header_bytes: size of a call's head at most.
-    :param body_bytes: size of a call's body at most.
-    :param header_seconds: time that a caller may take to send a call.
-    :param idle_seconds: time after which an idle connection is closed.
-    """
-
-    header_bytes: int = 16384
-    body_bytes: int = 262144
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
 @attrs.frozen
 class Configuration:
     """One version of the configuration, with the data centres that are out of service."""
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -40,6 +40,9 @@
 DRAIN_MARGIN_SECONDS = 1.0
 """Time kept back of the grace period of a planned stop."""
 
+LIMITS_SECONDS = 0.5
+"""Time between two looks at the limits on callers; a change is to be in force within 2 s."""
+
 log = structlog.get_logger()
 
 
@@ -203,6 +206,14 @@
                 leader.decide.set()
             await asyncio.sleep(0.1)
 
+    async def apply_limits(self, server: HttpServer) -> None:
+        """Keep the limits on callers as the configuration says, until cancelled."""
+        while True:
+            configuration = self.keeper.configuration
+            if configuration is not None:
+                server.limits = configuration.limits
+            await asyncio.sleep(LIMITS_SECONDS)
+
     # Life
 
     async def run(self) -> None:
@@ -222,6 +233,7 @@
                 for address, handler in handlers
             ]
             keeping = supervise(self.keeper.run(), "keeper", self.on_task_failure)
+            limiting = supervise(self.apply_limits(servers[0]), "limits", self.on_task_failure)
             leading = supervise(self.run_leadership(), "leadership", self.on_task_failure)
             log.info("daemon started", vm=settings.name, incarnation=self.incarnation)
             await self.stop_requested.wait()
@@ -230,6 +242,7 @@
             leading.cancel()
             await asyncio.gather(leading, return_exceptions=True)
             cut = await servers[0].drain(settings.bounds.grace - DRAIN_MARGIN_SECONDS)
-            keeping.cancel()
-            await asyncio.gather(keeping, return_exceptions=True)
+            for task in (keeping, limiting):
+                task.cancel()
+            await asyncio.gather(keeping, limiting, return_exceptions=True)
             log.info("planned stop ended", vm=settings.name, cut_requests=cut)
--- a/src/jaypier/platform/operators.py
+++ b/src/jaypier/platform/operators.py
@@ -4,7 +4,6 @@
 
 from jaypier.entry.configuration import (
     Configuration,
-    Limits,
     OperatorChanges,
     OperatorSource,
     Route,
@@ -12,6 +11,7 @@
 )
 from jaypier.platform.abstract import FollowedTable
 from jaypier.platform.model import Changes
+from jaypier.wire.server import Limits
 
 OPERATORS_TABLE = "op"
 CONFIGURATION_KEY = "op/config"
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import attrs
 import h11
 
 from jaypier.core.address import Address
@@ -10,19 +11,32 @@
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
-REQUEST_READ_TIMEOUT = 10.0
-"""Seconds that a client may take to send one request."""
+BODY_READ_TIMEOUT = 10.0
+"""Seconds that a client may take to send the body of a request: 1 MB over the slowest links."""
 
 RESPONSE_WRITE_TIMEOUT = 10.0
 """Seconds that a client may take to drain a response."""
 
-IDLE_TIMEOUT = 60.0
-"""Seconds after which an idle connection is closed."""
-
 MAX_CONNECTIONS = 4096
 """Connections that one server accepts at a time."""
 
 
+@attrs.frozen
+class Limits:
+    """What a server takes from its clients.
+
+    :param header_bytes: size of a request's head at most.
+    :param body_bytes: size of a request's body at most.
+    :param header_seconds: time that a client may take to send a request's head.
+    :param idle_seconds: time after which an idle connection is closed.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = MAX_BODY_BYTES
+    header_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
 class ServerConnection(asyncio.Protocol):
     """One client connection; it handles one request at a time.
 
@@ -31,11 +45,13 @@
 
     def __init__(self, server: "HttpServer") -> None:
         self.server = server
-        self.http = h11.Connection(h11.SERVER)
+        self.limits = server.limits
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
         self.transport: asyncio.Transport | None = None
         self.request: HttpRequest | None = None
         self.body: list[bytes] = []
         self.body_size = 0
+        self.is_reading = False
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -46,7 +62,7 @@
             transport.abort()
             return
         self.server.connections.add(self)
-        self.set_timer(REQUEST_READ_TIMEOUT)
+        self.set_timer(self.limits.idle_seconds)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has left."""
@@ -58,8 +74,12 @@
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser."""
         self.http.receive_data(data)
-        if self.task is None:
-            self.advance()
+        if self.task is not None:
+            return
+        if not self.is_reading:
+            self.is_reading = True
+            self.set_timer(self.limits.header_seconds)
+        self.advance()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a client that has left."""
@@ -71,12 +91,12 @@
 
     def resume_writing(self) -> None:
         """Return to the idle timeout once the response has drained."""
-        self.set_timer(IDLE_TIMEOUT)
+        self.set_timer(self.limits.idle_seconds)
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled."""
-        return self.task is None and self.request is None
+        return self.task is None and not self.is_reading
 
     def set_timer(self, seconds: float) -> None:
         """Close the connection unless the timer is set again within ``seconds``."""
@@ -90,10 +110,16 @@
             self.timer = None
 
     def expire(self) -> None:
-        """Drop a connection that was idle or slow for too long."""
+        """End a connection that was idle or slow for too long."""
         self.timer = None
-        if self.task is None and self.transport is not None:
+        if self.task is not None or self.transport is None:
+            return
+        if self.is_reading:
+            self.refuse(408, "the request did not arrive whole in time")
+        elif self.transport.get_write_buffer_size():
             self.transport.abort()
+        else:
+            self.transport.close()
 
     def advance(self) -> None:
         """Read parser events until a request is complete or more bytes are needed."""
@@ -114,16 +140,17 @@
         if isinstance(event, h11.Request):
             method, target = event.method.decode("ascii"), event.target.decode("latin-1")
             self.request = HttpRequest(method, target, list(event.headers))
-            self.set_timer(REQUEST_READ_TIMEOUT)
+            self.set_timer(BODY_READ_TIMEOUT)
             if self.http.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
             self.body_size += len(event.data)
-            if self.body_size > self.server.max_body:
-                self.refuse(413, f"body exceeds {self.server.max_body} bytes")
+            if self.body_size > self.limits.body_bytes:
+                self.refuse(413, f"body exceeds {self.limits.body_bytes} bytes")
                 return
             self.body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
+            self.is_reading = False
             self.request.body = b"".join(self.body)
             self.clear_timer()
             self.task = asyncio.get_running_loop().create_task(self.handle(self.request))
@@ -178,7 +205,8 @@
             self.transport.close()
             return
         self.http.start_next_cycle()
-        self.set_timer(IDLE_TIMEOUT)
+        self.set_timer(self.limits.idle_seconds)
+        self.is_reading = bool(self.http.trailing_data[0])
         self.advance()
 
 
@@ -188,11 +216,11 @@
     :param address: where to listen.
     :param handler: coroutine function from request to response.
     :param on_handler_error: called with each exception that the handler lets through.
+    :ivar limits: limits of connections that are opened from now on.
     """
 
     connection_class = ServerConnection
     max_connections = MAX_CONNECTIONS
-    max_body = MAX_BODY_BYTES
 
     def __init__(
         self,
@@ -203,6 +231,7 @@
         self.address = address
         self.handler = handler
         self.on_handler_error = on_handler_error
+        self.limits = Limits()
         self.connections: set[ServerConnection] = set()
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -9,7 +9,7 @@
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
-from jaypier.wire.server import HttpServer
+from jaypier.wire.server import HttpServer, Limits
 
 REQUEST = HttpRequest("POST", "/x", [], b"body")
 
@@ -133,6 +133,48 @@
         play(scenario)
 
 
+class TestLimits:
+    """Limits that operators set hold for connections from then on."""
+
+    def test_body_and_head(self):
+        async def scenario(scene):
+            scene.server.limits = Limits(header_bytes=500, body_bytes=10)
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n"
+            answer = await scene.send_raw(head + b"\r\n" + b"x" * 11)
+            assert answer.split()[1] == b"413"
+            answer = await scene.send_raw(head + b"y: " + b"z" * 600)
+            assert answer.split()[1] == b"431"
+
+        play(scenario)
+
+    def test_request_that_comes_too_slowly_is_told_so(self):
+        async def scenario(scene):
+            scene.server.limits = Limits(header_seconds=0.05)
+            answer = await scene.send_raw(b"POST / HTTP/1.1\r\nhost:")
+            assert answer.split()[1] == b"408"
+
+        play(scenario)
+
+    def test_idle_connection_is_closed(self):
+        async def scenario(scene):
+            scene.server.limits = Limits(idle_seconds=0.05)
+            assert await scene.send_raw(b"") == b""
+
+        play(scenario)
+
+    def test_long_work_is_neither_idle_nor_slow(self):
+        async def scenario(scene):
+            scene.server.limits = Limits(idle_seconds=0.01, header_seconds=0.01)
+            scene.gate.clear()
+            exchange = asyncio.create_task(scene.pool.exchange(REQUEST, 10.0))
+            await scene.entered.wait()
+            await asyncio.sleep(0.1)
+            scene.gate.set()
+            assert (await exchange).body == b"body"
+
+        play(scenario)
+
+
 class TestPlannedStop:
     def test_request_in_flight_gets_its_answer(self):
         async def scenario(scene):
