A VM that has lost its own path to the store calls it through a peer

Cause: callers of a VM that a partial outage cuts off (a third of the VMs, the leader first) were refused with 503, its keys went stale after 4.4 s, and a leader was deposed after 2 s. Ruled out: passing callers' requests on (configuration and leadership still go stale); asking every peer (an outage of the whole store would bring calls for each pair of VMs; a unit test found 3 of 3 peers asked, the bound is two calls a second). Change: relay/: a transport of store calls that goes directly, and through a peer while that fails; a write that may have reached the store is never repeated. standins/proxy.py cuts, silences or refuses one daemon's path. Tests: with no peer asked (MAX_PEERS_ASKED = 0) all six process tests fail with 503; with it they pass; 12 unit tests. A warning 'Event loop is closed' was seen once in a run of the process tests and not in four more: the proxy left a connection that was accepted at its end; it now waits for those.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -26,10 +26,13 @@
 from jaypier.operators.credentials import Credentials
 from jaypier.platform import PlatformUnavailable
 from jaypier.platform.operators import StoreOperatorSource
-from jaypier.platform.store import StoreTable
+from jaypier.platform.store import MAX_ANSWER_BYTES, StoreTable
 from jaypier.platform.workers import HttpWorkerLink, StoreWorkerDirectory
+from jaypier.relay.peers import PeerList
+from jaypier.relay.transport import RelayedTransport
+from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
-from jaypier.wire.server import HttpServer
+from jaypier.wire.server import HttpServer, Limits
 
 READY_AGE_SECONDS = 2.5
 """Age of the configuration up to which this VM takes new connections."""
@@ -62,7 +65,10 @@
         self.has_failed = False
         self.is_stopping = False
         self.leader: Leader | None = None
-        self.table = StoreTable(settings.store)
+        store = ConnectionPool(settings.store, max_body=MAX_ANSWER_BYTES)
+        peers = PeerList(settings.name, self.clock, self.rng)
+        self.transport = RelayedTransport(store, peers, self.rng)
+        self.table = StoreTable(self.transport)
         self.directory = StoreWorkerDirectory(self.table)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
@@ -113,6 +119,8 @@
             "configuration_age_seconds": self.keeper.age,
             "out_of_service": sorted(self.keeper.out_of_service),
             "epoch": leader.epoch if leader else None,
+            "reaches_store": not self.transport.is_lost,
+            "peers": sorted(self.transport.peers.peers),
         }
         if leader is not None:
             state["jobs"] = {
@@ -216,24 +224,39 @@
 
     # Life
 
-    async def run(self) -> None:
-        """Run until a stop is requested, then stop gracefully."""
+    def build_servers(self) -> list[HttpServer]:
+        """Return the servers of all addresses, that of callers first."""
         settings = self.settings
         handlers = [
-            (settings.callers, self.front.handle),
-            (settings.readiness, self.handle_ready),
-            (settings.metrics, self.handle_metrics),
+            (settings.callers, self.front.handle, Limits()),
+            (settings.readiness, self.handle_ready, Limits()),
+            (settings.metrics, self.handle_metrics, Limits()),
+            (settings.peers, self.transport.handle, Limits(body_bytes=MAX_ANSWER_BYTES)),
         ]
         if settings.operators is not None and self.operator_api is not None:
-            handlers.append((settings.operators.address, self.operator_api.handle))
+            handlers.append((settings.operators.address, self.operator_api.handle, Limits()))
+        return [
+            HttpServer(address, handler, self.on_handler_error, limits)
+            for address, handler, limits in handlers
+        ]
+
+    async def run(self) -> None:
+        """Run until a stop is requested, then stop gracefully."""
+        settings = self.settings
+        servers = self.build_servers()
         async with AsyncExitStack() as stack:
-            stack.callback(self.table.close)
-            servers = [
-                await stack.enter_async_context(HttpServer(address, handler, self.on_handler_error))
-                for address, handler in handlers
+            stack.callback(self.transport.close)
+            for server in servers:
+                await stack.enter_async_context(server)
+            keeping = [
+                supervise(work, name, self.on_task_failure)
+                for name, work in (
+                    ("keeper", self.keeper.run()),
+                    ("limits", self.apply_limits(servers[0])),
+                    ("probes", self.transport.run_probes()),
+                    ("peers", self.transport.run_registration(self.table, settings.peers)),
+                )
             ]
-            keeping = supervise(self.keeper.run(), "keeper", self.on_task_failure)
-            limiting = supervise(self.apply_limits(servers[0]), "limits", self.on_task_failure)
             leading = supervise(self.run_leadership(), "leadership", self.on_task_failure)
             log.info("daemon started", vm=settings.name, incarnation=self.incarnation)
             await self.stop_requested.wait()
@@ -242,7 +265,7 @@
             leading.cancel()
             await asyncio.gather(leading, return_exceptions=True)
             cut = await servers[0].drain(settings.bounds.grace - DRAIN_MARGIN_SECONDS)
-            for task in (keeping, limiting):
+            for task in keeping:
                 task.cancel()
-            await asyncio.gather(keeping, limiting, return_exceptions=True)
+            await asyncio.gather(*keeping, return_exceptions=True)
             log.info("planned stop ended", vm=settings.name, cut_requests=cut)
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -115,6 +115,7 @@
     :param readiness: address of the balancer's readiness probe.
     :param metrics: address of counters and histograms.
     :param store: address of the platform's store.
+    :param peers: address for daemons that have lost their own path to the store.
     :param processor_share: speed of this VM in cores.
     :param operators: where operators hand release notes in, ``None`` where the platform's own
         configuration is followed.
@@ -126,6 +127,7 @@
     readiness: Address
     metrics: Address
     store: Address
+    peers: Address
     processor_share: float
     bounds: Bounds
     operators: OperatorSettings | None = None
@@ -141,6 +143,7 @@
     :param operator_address: where to serve operators.
     :param ready_address: where to answer the balancer's probe.
     :param metrics_address: where to serve counters, histograms and the state of the process.
+    :param peer_address: where to serve daemons that have lost their own path to the store.
     :param store_address: where the platform's store listens.
     :param operator_tokens: token of each operator.
     :param processor_share: speed of this VM in cores; faster ones lead first.
@@ -152,6 +155,7 @@
     operator_address: str = attrs.field(validator=_address)
     ready_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
+    peer_address: str = attrs.field(validator=_address)
     store_address: str = attrs.field(validator=_address)
     operator_tokens: dict[str, str] = attrs.field(validator=_tokens, repr=False)
     processor_share: float = attrs.field(default=1.0, validator=_share)
@@ -164,6 +168,7 @@
             self.operator_address,
             self.ready_address,
             self.metrics_address,
+            self.peer_address,
         ]
         repeated = [address for address in own if own.count(address) > 1]
         if repeated:
@@ -178,6 +183,7 @@
             readiness=Address.parse(self.ready_address),
             metrics=Address.parse(self.metrics_address),
             store=Address.parse(self.store_address),
+            peers=Address.parse(self.peer_address),
             processor_share=self.processor_share,
             bounds=self.bounds,
             operators=OperatorSettings(Address.parse(self.operator_address), self.operator_tokens),
--- a/src/jaypier/entry/tests/test_settings.py
+++ b/src/jaypier/entry/tests/test_settings.py
@@ -22,6 +22,7 @@
         "operator_address": "127.0.0.1:8102",
         "ready_address": "127.0.0.1:8103",
         "metrics_address": "127.0.0.1:8104",
+        "peer_address": "127.0.0.1:8105",
         "store_address": "127.0.0.1:7000",
         "operator_tokens": {"amina": "operator-0123456789"},
     }
--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -85,7 +85,8 @@
                     if won:
                         return self.leadership.epoch, self.version
                 await self.follow()
-            except PlatformUnavailable:
+            except PlatformUnavailable as error:
+                log.debug("leader's row not followed", reason=str(error))
                 await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.6, 1.4))
             except HistoryLost:
                 await self.read()
@@ -95,7 +96,8 @@
         while True:
             try:
                 row = await self.table.read(LEADER_KEY)
-            except PlatformUnavailable:
+            except PlatformUnavailable as error:
+                log.debug("leader's row not read", reason=str(error))
                 await asyncio.sleep(RETRY_SECONDS * self.rng.uniform(0.6, 1.4))
                 continue
             if row is not None:
--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -1,8 +1,9 @@
-"""The entry point that every table service implements."""
+"""The entry points of the platform's table service: its rows, and the way of a call to it."""
 
 from abc import ABC, abstractmethod
 
 from jaypier.platform.model import Changes, Row, Transaction
+from jaypier.wire.messages import HttpRequest, HttpResponse
 
 
 class FollowedTable(ABC):
@@ -43,3 +44,19 @@
     @abstractmethod
     def store_time(self) -> float:
         """Return the store's steady clock in seconds, as far as its last answer tells."""
+
+
+class StoreTransport(ABC):
+    """Carries a call to the store and its answer back."""
+
+    @abstractmethod
+    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        """Make one call.
+
+        :raises TransportError: when there is no answer; ``sent`` tells whether the store may have
+            carried the call out.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close every idle connection."""
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -39,6 +39,7 @@
         readiness=Address.parse(listen["Ready"]),
         metrics=Address(values["Ip"], first_port + 1),
         store=Address.parse(values["platform"]["Address"]),
+        peers=Address(values["Ip"], first_port),
         processor_share=float(limits["CpuQuota"]) * float(limits.get("CpuCores", 1)),
         bounds=_decode_bounds(values.get("Bounds", {})),
     )
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -12,8 +12,7 @@
 
 import msgspec
 
-from jaypier.core.address import Address
-from jaypier.platform.abstract import FollowedTable
+from jaypier.platform.abstract import FollowedTable, StoreTransport
 from jaypier.platform.errors import (
     ConditionFailed,
     HistoryLost,
@@ -21,7 +20,6 @@
     PlatformUnavailable,
 )
 from jaypier.platform.model import Changes, Row, Transaction
-from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
@@ -34,25 +32,24 @@
 MAX_ANSWER_BYTES = 8 << 20
 """Largest answer that is read; the store's pages end at 1 MB of values, before base64."""
 
+PROBE = HttpRequest("GET", "/rows-get?Table=daemons&Limit=1")
+"""A cheap call that tells whether the store answers."""
+
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
 class StoreTable(FollowedTable):
     """Rows of the store over HTTP.
 
-    :param address: where the store listens.
+    :param transport: the way to the store.
     :param timeout: seconds to wait for one answer.
     """
 
-    def __init__(self, address: Address, timeout: float = CALL_SECONDS) -> None:
+    def __init__(self, transport: StoreTransport, timeout: float = CALL_SECONDS) -> None:
         self.timeout = timeout
-        self.pool = ConnectionPool(address, max_body=MAX_ANSWER_BYTES)
+        self.transport = transport
         self.clock_offset = 0.0
 
-    def close(self) -> None:
-        """Close every idle connection."""
-        self.pool.close()
-
     async def read(self, key: str) -> Row | None:
         """Return a row, or ``None`` when it does not exist."""
         table, name = split_key(key)
@@ -127,7 +124,7 @@
         """Make one call, turning errors of the transport into the platform's."""
         try:
             async with asyncio.timeout(timeout + 0.1):
-                return await self.pool.exchange(request, timeout)
+                return await self.transport.exchange(request, timeout)
         except TransportError as error:
             raise PlatformUnavailable(f"store: {error}", effect_unknown=error.sent) from error
         except TimeoutError as error:
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -227,11 +227,12 @@
         address: Address,
         handler: Handler,
         on_handler_error: Callable[[Exception], None],
+        limits: Limits | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.on_handler_error = on_handler_error
-        self.limits = Limits()
+        self.limits = limits or Limits()
         self.connections: set[ServerConnection] = set()
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from contextlib import AsyncExitStack
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
 from jaypier.wire.messages import HttpRequest, HttpResponse
 from standins.cluster import MemoryCluster, MemoryStore
 from standins.protocol import PlatformServers, encode_configuration
+from standins.proxy import LoopbackProxy
 
 HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-0123456789"
@@ -36,7 +38,7 @@
 NodeName = "{id}"
 Zone = "{data_centre}"
 Ip = "{host}"
-InternalPortRange = [{internal},{metrics}]
+InternalPortRange = [{peers},{metrics}]
 [ListenAddrs]
 Frontend = "{host}:{callers}"
 Ready = "{host}:{ready}"
@@ -45,7 +47,7 @@
 CpuCores = 1
 MemoryLimitMb = 300
 [platform]
-Address = "{store}"
+Address = "{host}:{store}"
 [Bounds]
 MaxHoldMs = 6000
 GracePeriodS = 6
@@ -73,22 +75,33 @@
 
 @attrs.frozen
 class Ports:
-    """Ports of one daemon; ``internal`` is the one before that of its metrics."""
+    """Ports of one daemon."""
 
     callers: int
     ready: int
+    peers: int
     metrics: int
     operators: int
+    store: int
 
-    @property
-    def internal(self) -> int:
-        """First port of the range that the platform gives the daemon."""
-        return self.metrics - 1
+
+def free_daemon_ports() -> Ports:
+    """Return ports of a daemon; that of its metrics is the second of its range."""
+    while True:
+        callers, ready, operators, store, peers = free_ports(5)
+        with socket.socket() as each:
+            try:
+                each.bind((HOST, peers + 1))
+            except OSError:
+                continue
+        return Ports(callers, ready, peers, peers + 1, operators, store)
 
 
 class Deployment:
     """Daemons, store and workers; an async context manager that ends all that it has started.
 
+    Each daemon reaches the store through a proxy of its own, in ``proxies``.
+
     :param folder: where settings and logs go.
     :param daemons: number of daemons.
     :param racks: racks, each a data centre of its own, with workers of 8 accelerators.
@@ -108,18 +121,18 @@
         for number in range(racks * workers_per_rack):
             rack = number % racks
             self.cluster.add_worker(f"worker-{number:02}", f"dc-{rack}", f"rack-{rack}")
-        ports = free_ports(1 + len(self.cluster.workers) + 4 * daemons)
-        addresses = [Address(HOST, port) for port in ports]
-        self.store_address = addresses.pop()
         count = len(self.cluster.workers)
-        self.servers = PlatformServers(self.cluster, self.store_address, addresses[:count])
-        own = ports[count : count + 4 * daemons]
-        self.ports = [Ports(*own[4 * number : 4 * number + 4]) for number in range(daemons)]
+        store, *workers = [Address(HOST, port) for port in free_ports(1 + count)]
+        self.servers = PlatformServers(self.cluster, store, workers)
+        self.ports = [free_daemon_ports() for _ in range(daemons)]
+        self.proxies = [LoopbackProxy(Address(HOST, each.store), store) for each in self.ports]
         self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.stack = AsyncExitStack()
 
     async def __aenter__(self) -> "Deployment":
         self.folder.mkdir(parents=True, exist_ok=True)
-        await self.servers.__aenter__()
+        for owned in (self.servers, *self.proxies):
+            await self.stack.enter_async_context(owned)
         if self.interface is Interface.PLATFORM:
             self.servers.configure(encode_configuration(1, {"clinic": ["k1"]}))
         try:
@@ -133,7 +146,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for number in list(self.processes):
             await self.stop(number, signal.SIGKILL)
-        await self.servers.__aexit__()
+        await self.stack.aclose()
 
     # Processes
 
@@ -158,8 +171,6 @@
             "id": f"entry-{number}",
             "data_centre": f"dc-{number}",
             "host": HOST,
-            "internal": ports.internal,
-            "store": str(self.store_address),
             **attrs.asdict(ports),
         }
         if self.interface is Interface.PLATFORM:
@@ -171,12 +182,13 @@
             "caller_address": ports.callers,
             "operator_address": ports.operators,
             "ready_address": ports.ready,
+            "peer_address": ports.peers,
+            "store_address": ports.store,
             "metrics_address": ports.metrics,
         }
         own = {
             "id": values["id"],
             "data_centre": values["data_centre"],
-            "store_address": values["store"],
             "operator_tokens": {"amina": OPERATOR_TOKEN},
             **{name: f"{HOST}:{port}" for name, port in addresses.items()},
         }
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -7,7 +7,8 @@
 import msgspec
 import pytest
 
-from standins.deployment import Deployment, Interface
+from standins.deployment import Deployment, Interface, call
+from standins.proxy import Passage
 
 VMS = 3
 
@@ -72,3 +73,46 @@
             assert len(deployment.cluster.runs) == 18
 
         play(scenario, tmp_path)
+
+
+class TestLostPathToTheStore:
+    @pytest.mark.parametrize("passage", [Passage.SILENT, Passage.REFUSED, Passage.NO_ANSWERS])
+    @pytest.mark.parametrize("is_leader", [True, False])
+    def test_callers_are_served_through_another_daemon(self, tmp_path, passage, is_leader):
+        async def scenario(deployment):
+            await wait_registered(deployment)
+            leader = deployment.find_leader()
+            cut = leader if is_leader else (leader + 1) % VMS
+            deployment.proxies[cut].passage = passage
+            jobs = [f"{number:016x}" for number in range(8)]
+            for job in jobs:
+                await submit_until_accepted(deployment, cut, job)
+            deployment.proxies[cut].passage = Passage.OPEN
+            for job in jobs:
+                await wait_state(deployment, job, "completed", 25)
+            assert "own path to the store lost" in deployment.log(cut)
+            assert len(deployment.cluster.runs) == 8
+
+        play(scenario, tmp_path)
+
+
+async def wait_registered(deployment: Deployment) -> None:
+    """Wait until every daemon knows the others."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + 15
+    while True:
+        numbers = range(VMS)
+        dumps = [await call(deployment.ports[n].metrics, "GET", "/dump") for n in numbers]
+        if all(len(msgspec.json.decode(each.body)["peers"]) == VMS - 1 for each in dumps):
+            return
+        assert loop.time() < end, "daemons do not know each other"
+        await asyncio.sleep(0.1)
+
+
+async def submit_until_accepted(deployment: Deployment, number: int, job: str) -> None:
+    """Hand a job in at one daemon, again as long as its fate is unknown."""
+    for _ in range(4):
+        response = await deployment.call(number, "POST", f"/common/{job}", body(1, 0.3))
+        if response.status != 504:
+            break
+    assert response.status == 200, response
