Rows within the store's sizes: a row a worker, bounded progress rows, writes in parts

The leader kept all known workers in one row, which is over 64 KB from about 250 workers on; the store refused the write, the leadership failed, the daemon stopped, and so did each successor. Ruled out: chunks of workers by hash (each change would write 50 KB). Change: a row a worker, written when it changes and deleted when it is gone; a write takes 60 jobs and 512 KB at most; done tasks of a step are bits, a gang's checkpoint is kept once, checkpoints are left out of a row that is still too long; a call that the store refuses is written in parts and the row it refuses is left out with a log line; a job that does not fit a row gets 413. Rows leave out defaults. The stand-in refuses what the store refuses.

--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -10,6 +10,7 @@
 
 import cattrs
 import msgspec
+from cattrs.preconf.json import make_converter as make_json_converter
 from cattrs.preconf.msgspec import make_converter
 
 from jaypier.core.errors import JaypierError
@@ -18,6 +19,7 @@
 
 strict_converter = make_converter(forbid_extra_keys=True)
 lenient_converter = make_converter()
+compact_converter = make_json_converter(omit_if_default=True)
 
 
 def _member(value: Any, expected: type[Enum]) -> Enum:
@@ -105,6 +107,16 @@
     return lenient_converter.unstructure(value)
 
 
+def to_compact(value: Any) -> Any:
+    """Return the plain values of an ``attrs`` instance without those that are the default."""
+    return compact_converter.unstructure(value)
+
+
+def encoded_size(value: Any) -> int:
+    """Return the length of plain values as JSON, in bytes."""
+    return len(msgspec.json.encode(value))
+
+
 def from_plain(value: Any, expected: type[T]) -> T:
     """Build ``expected`` from plain values that jaypier itself wrote.
 
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -69,6 +69,7 @@
         peers = PeerList(settings.name, self.clock, self.rng)
         self.transport = RelayedTransport(store, peers, self.rng)
         self.table = StoreTable(self.transport)
+        self.table.max_row_bytes = settings.max_row_bytes
         self.directory = StoreWorkerDirectory(self.table)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
--- a/src/jaypier/entry/front.py
+++ b/src/jaypier/entry/front.py
@@ -14,7 +14,7 @@
 from jaypier.entry.configuration import Configuration, Route
 from jaypier.entry.keeper import ConfigurationKeeper
 from jaypier.jobs.model import Job, JobStatus
-from jaypier.jobs.rows import JobTable
+from jaypier.jobs.rows import JobTable, JobTooLarge
 from jaypier.platform import PlatformRefused, PlatformUnavailable
 from jaypier.platform.callers import (
     BadRequest,
@@ -175,8 +175,11 @@
         )
 
         async def accept(call: Call) -> HttpResponse:
-            if await self.jobs.accept(job):
-                return accepted_response()
+            try:
+                if await self.jobs.accept(job):
+                    return accepted_response()
+            except JobTooLarge as error:
+                return refusal(413, str(error))
             return refusal(409, f"another job has the identity {job.id}")
 
         response = await self.answer(call, accept)
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -119,6 +119,7 @@
     :param processor_share: speed of this VM in cores.
     :param operators: where operators hand release notes in, ``None`` where the platform's own
         configuration is followed.
+    :param max_row_bytes: length of a row's value in the store at most.
     """
 
     name: str
@@ -131,6 +132,7 @@
     processor_share: float
     bounds: Bounds
     operators: OperatorSettings | None = None
+    max_row_bytes: int = 65536
 
 
 @attrs.frozen
--- a/src/jaypier/entry/tests/test_front.py
+++ b/src/jaypier/entry/tests/test_front.py
@@ -206,3 +206,26 @@
             assert json.loads(response.body) == {"Pending": 3}
 
         play(scenario)
+
+
+class TestSizes:
+    def test_job_that_does_not_fit_a_row_is_refused_clearly(self):
+        async def scenario(bench):
+            steps = [
+                {"Count": 3, "Gpu": 1, "Cpu": 1000 + number, "EstimatedMs": 500, "MemMb": 77}
+                for number in range(1000)
+            ]
+            response = await bench.submit(body=json.dumps({"Phases": steps}).encode())
+            assert response.status == 413
+            assert "split it" in json.loads(response.body)["Error"]
+            assert await bench.state() == 410
+
+        play(scenario)
+
+    def test_job_of_several_hundred_steps_is_accepted(self):
+        async def scenario(bench):
+            steps = [{"Count": 3, "Gpu": 1, "EstimatedMs": 500} for _ in range(400)]
+            response = await bench.submit(body=json.dumps({"Phases": steps}).encode())
+            assert response.status == 200
+
+        play(scenario)
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -27,11 +27,11 @@
 from jaypier.jobs.rows import (
     JOBS_TABLE,
     PROGRESS_TABLE,
-    WORKERS_KEY,
+    WORKERS_TABLE,
     decode_job_rows,
     decode_progress,
 )
-from jaypier.jobs.saving import ProgressSaver
+from jaypier.jobs.saving import ProgressSaver, SavedWorker
 from jaypier.jobs.session import WorkerSession
 from jaypier.jobs.state import Run, Worker
 from jaypier.platform import FollowedTable, HistoryLost, PlatformUnavailable
@@ -185,16 +185,15 @@
         An entry may be missing while its worker is at work: it expires when the worker does not
         reach the store.
         """
-        row = await self.table.read(WORKERS_KEY)
-        if row is None or row.value is None:
-            return
+        rows = (await self.table.snapshot(WORKERS_TABLE)).rows
         now = self.clock.now()
-        for worker_id, plain in row.value.items():
-            entry = from_plain(plain, WorkerEntry)
+        for row in rows:
+            entry = from_plain(row.value, WorkerEntry)
+            self.saver.saved_workers[entry.id] = SavedWorker.of(entry)
             # A worker that was leaving and whose entry is gone has left, with all that it ran.
-            if entry.is_ready and worker_id not in self.board.workers:
+            if entry.is_ready and entry.id not in self.board.workers:
                 self.take_entry(entry, now, row.version)
-                self.board.unlist_worker(worker_id, now)
+                self.board.unlist_worker(entry.id, now)
 
     # Following
 
--- a/src/jaypier/jobs/ledger.py
+++ b/src/jaypier/jobs/ledger.py
@@ -14,6 +14,7 @@
     Condition,
     ConditionFailed,
     FollowedTable,
+    PlatformRefused,
     PlatformUnavailable,
     Put,
     Transaction,
@@ -76,10 +77,30 @@
                 await asyncio.sleep(RETRY_SECONDS)
             except ConditionFailed as error:
                 self.adopt(error.current)
+            except PlatformRefused as error:
+                await self.write_parts(puts, deletes, error)
+                puts, deletes = [], []
             else:
                 self.confirmed_at = sent_at
                 return
 
+    async def write_parts(
+        self, puts: list[Put], deletes: list[str], error: PlatformRefused
+    ) -> None:
+        """Write rows apart that the store has refused together; leave out a row that it refuses.
+
+        A leader that stopped here would leave its successor with the same row.
+        """
+        if len(puts) + len(deletes) == 0:
+            raise error
+        if len(puts) + len(deletes) == 1:
+            keys = [put.key for put in puts] + deletes
+            log.error("row refused by the store", key=keys[0], reason=str(error))
+            return
+        middle = (len(puts) + len(deletes)) // 2
+        await self.write(puts[:middle], deletes[: max(0, middle - len(puts))], False)
+        await self.write(puts[middle:], deletes[max(0, middle - len(puts)) :], False)
+
     async def try_write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
         """Make one attempt to write rows."""
         conditions = [Condition(LEADER_KEY, self.version), Condition(TURN_KEY, self.turn_version)]
--- a/src/jaypier/jobs/progress.py
+++ b/src/jaypier/jobs/progress.py
@@ -11,14 +11,15 @@
     """Progress of one step.
 
     :param is_done: whether all tasks have ended well; the lists are empty then.
-    :param done: numbers of the tasks that have ended well.
+    :param done: tasks that have ended well: one bit each, the first the lowest, in hexadecimal.
     :param failures: failed attempts of each task that has any.
     :param failed_attempts: attempts of a gang in which a task failed.
-    :param checkpoints: checkpoint of each unfinished task that has one.
+    :param checkpoints: checkpoint of each unfinished task that has one; of a gang that of the first
+        task, which is that of all.
     """
 
     is_done: bool = False
-    done: list[int] = attrs.field(factory=list)
+    done: str = ""
     failures: dict[int, list[int]] = attrs.field(factory=dict)
     failed_attempts: list[int] = attrs.field(factory=list)
     checkpoints: dict[int, str] = attrs.field(factory=dict)
@@ -73,8 +74,10 @@
     """Return what to keep of one step."""
     if step.is_done:
         return StepProgress(is_done=True)
+    kept = step.tasks[:1] if step.step.is_gang else step.tasks
+    done = sum(1 << task.id.index for task in step.tasks if task.is_done)
     return StepProgress(
-        done=[task.id.index for task in step.tasks if task.is_done],
+        done=f"{done:x}" if done else "",
         failures={
             task.id.index: sorted(task.failed_attempts)
             for task in step.tasks
@@ -82,13 +85,21 @@
         },
         failed_attempts=[] if step.step.lasts else sorted(step.failed_attempts),
         checkpoints={
-            task.id.index: task.checkpoint
-            for task in step.tasks
-            if task.checkpoint and not task.is_done
+            task.id.index: task.checkpoint for task in kept if task.checkpoint and not task.is_done
         },
     )
 
 
+def without_checkpoints(progress: JobProgress) -> JobProgress:
+    """Return progress that takes less room: its tasks start from their beginning again."""
+
+    def strip(steps: list[StepProgress]) -> list[StepProgress]:
+        return [attrs.evolve(step, checkpoints={}) for step in steps]
+
+    occurrences = {number: strip(steps) for number, steps in progress.occurrences.items()}
+    return attrs.evolve(progress, steps=strip(progress.steps), occurrences=occurrences)
+
+
 def restore_job(job: Job, progress: JobProgress | None) -> JobState:
     """Rebuild the state of a job that an earlier leader may have started."""
     state = new_job_state(job)
@@ -110,9 +121,9 @@
 def restore_step(step: StepState, kept: StepProgress) -> None:
     """Take over what was kept of one step."""
     step.failed_attempts = set(kept.failed_attempts)
-    done = set(kept.done)
+    done = int(kept.done or "0", 16)
     for task in step.tasks:
         index = task.id.index
-        task.is_done = kept.is_done or index in done
+        task.is_done = kept.is_done or bool(done >> index & 1)
         task.failed_attempts = set(kept.failures.get(index, ()))
-        task.checkpoint = kept.checkpoints.get(index, "")
+        task.checkpoint = kept.checkpoints.get(0 if step.step.is_gang else index, "")
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -2,14 +2,15 @@
 
 ``jobs/ID`` is a job as it was accepted, ``jobs/ID-cancel`` its caller's wish to cancel it; both are
 written once, by the VM that the caller spoke to. ``progress/ID``, ``queues/pending`` and
-``workers/known`` belong to the leader.
+``workers/ID``, a worker that leaders have used, belong to the leader.
 """
 
 from typing import Any
 
 import attrs
 
-from jaypier.core.codec import from_plain, to_plain
+from jaypier.core.codec import encoded_size, from_plain, to_compact
+from jaypier.core.errors import JaypierError
 from jaypier.jobs.model import Job
 from jaypier.jobs.progress import JobProgress
 from jaypier.platform import Condition, ConditionFailed, FollowedTable, Put, Row, Transaction
@@ -17,7 +18,7 @@
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 PENDING_KEY = "queues/pending"
-WORKERS_KEY = "workers/known"
+WORKERS_TABLE = "workers"
 CANCEL_SUFFIX = "-cancel"
 
 
@@ -36,6 +37,15 @@
     return f"{JOBS_TABLE}/{job_id}{CANCEL_SUFFIX}"
 
 
+def worker_key(worker_id: str) -> str:
+    """Return the key of a worker that leaders have used."""
+    return f"{WORKERS_TABLE}/{worker_id}"
+
+
+class JobTooLarge(JaypierError):
+    """A job does not fit a row of the store; it was not accepted."""
+
+
 @attrs.frozen
 class JobChanges:
     """Jobs that were accepted and cancelled.
@@ -85,10 +95,16 @@
         """Store a job; return whether it, or the same job before, is stored now.
 
         :returns: ``False`` when another job has its identity.
+        :raises JobTooLarge: when it does not fit a row.
         :raises PlatformUnavailable: when there is no answer.
         """
-        key = job_key(job.id)
-        transaction = Transaction([Condition(key, 0)], [Put(key, to_plain(job))])
+        key, value = job_key(job.id), to_compact(job)
+        size, limit = encoded_size(value), self.table.max_row_bytes
+        if size > limit:
+            raise JobTooLarge(
+                f"the job takes {size} bytes as it is kept, {limit} at most; split it"
+            )
+        transaction = Transaction([Condition(key, 0)], [Put(key, value)])
         try:
             await self.table.commit(transaction)
         except ConditionFailed as error:
--- a/src/jaypier/jobs/saving.py
+++ b/src/jaypier/jobs/saving.py
@@ -4,13 +4,15 @@
 import itertools
 from typing import TYPE_CHECKING
 
+import attrs
 import structlog
 
-from jaypier.core.codec import to_plain
+from jaypier.core.codec import encoded_size, to_compact
 from jaypier.jobs.election import RENEW_SECONDS
 from jaypier.jobs.ledger import MAX_ROWS
-from jaypier.jobs.progress import record_progress
-from jaypier.jobs.rows import PENDING_KEY, WORKERS_KEY, cancel_key, job_key, progress_key
+from jaypier.jobs.model import WorkerEntry
+from jaypier.jobs.progress import record_progress, without_checkpoints
+from jaypier.jobs.rows import PENDING_KEY, cancel_key, job_key, progress_key, worker_key
 from jaypier.jobs.state import JobState
 from jaypier.platform import Put
 
@@ -23,9 +25,31 @@
 KEEP_MARGIN_SECONDS = 60.0
 """Time for which an ended job is kept beyond the time in which callers may ask for it."""
 
+MAX_JOB_ROWS = 60
+"""Jobs of one write, which leaves room for workers and for the number of waiting jobs."""
+
+MAX_WRITE_BYTES = 1 << 19
+"""Length of the values of one write; the store takes calls of 1 MB, in base64 and with names."""
+
 log = structlog.get_logger()
 
 
+@attrs.frozen
+class SavedWorker:
+    """What decides whether the row of a worker has to be written again.
+
+    :param born: start of its process, in Unix milliseconds.
+    """
+
+    is_ready: bool
+    born: int
+
+    @classmethod
+    def of(cls, entry: WorkerEntry) -> "SavedWorker":
+        """Return that of a worker's entry."""
+        return cls(entry.is_ready, entry.born)
+
+
 class ProgressSaver:
     """Saves a leader's progress; one write at a time.
 
@@ -37,7 +61,7 @@
         self.wanted = asyncio.Event()
         self.written = asyncio.Condition()
         self.saved_pending: dict[str, int] = {}
-        self.saved_workers: dict[str, bool] = {}
+        self.saved_workers: dict[str, SavedWorker] = {}
         self.pending_at = -PENDING_SECONDS
 
     async def run(self) -> None:
@@ -57,40 +81,58 @@
 
     async def save_changes(self) -> None:
         """Write the progress of changed jobs, then let workers forget the ends it covers."""
-        changed = list(itertools.islice(self.leader.board.changed, MAX_ROWS))
-        self.leader.board.changed.difference_update(changed)
+        leader = self.leader
         processed = {
             worker.id: (worker.born, worker.processed)
-            for worker in self.leader.board.workers.values()
+            for worker in leader.board.workers.values()
             if worker.processed > worker.durable
         }
-        covers_all = not self.leader.board.changed
-        wall = self.leader.wall()
-        jobs = self.leader.board.jobs
-        states = [jobs[job_id] for job_id in changed if job_id in jobs]
-        puts = [
-            Put(progress_key(state.job.id), to_plain(record_progress(state, wall)))
-            for state in states
-        ]
-        puts += self.pending_put()
-        puts += self.workers_put()
+        states, puts = self.take_changed()
+        covers_all = not leader.board.changed
         ended = [state.job.id for state in states if state.status.is_final]
         recorded = [(state.job.id, str(state.status)) for state in states]
         started = [state for state in states if state.has_started]
+        puts += self.pending_put()
+        current, worker_puts, deletes = self.worker_changes(MAX_ROWS - len(puts))
+        puts += worker_puts
         renew = self.renewal_wait() <= 0.0
-        if puts or renew:
-            await self.leader.ledger.write(puts, [], renew)
+        if puts or deletes or renew:
+            await leader.ledger.write(puts, deletes, renew)
+        self.saved_workers = current
         for job_id, status in recorded:
             log.info("job recorded", job=job_id, status=status)
         await self.note_started(started)
         for job_id in ended:
-            self.leader.board.jobs[job_id].ended_at = self.leader.clock.now()
+            leader.board.jobs[job_id].ended_at = leader.clock.now()
         if covers_all:
             self.let_workers_forget(processed)
         if self.leader.board.changed:
             self.wanted.set()
         await self.delete_expired()
 
+    def take_changed(self) -> tuple[list[JobState], list[Put]]:
+        """Take as many changed jobs as one write holds; return them and their rows."""
+        board, wall = self.leader.board, self.leader.wall()
+        limit = self.leader.table.max_row_bytes
+        states, puts, size = [], [], 0
+        for job_id in list(itertools.islice(board.changed, MAX_JOB_ROWS)):
+            state = board.jobs.get(job_id)
+            if state is None:
+                board.changed.discard(job_id)
+                continue
+            progress = record_progress(state, wall)
+            value = to_compact(progress)
+            if encoded_size(value) > limit:
+                log.warning("checkpoints left out of a long row", job=job_id)
+                value = to_compact(without_checkpoints(progress))
+            size += encoded_size(value)
+            if puts and size > MAX_WRITE_BYTES:
+                break
+            board.changed.discard(job_id)
+            states.append(state)
+            puts.append(Put(progress_key(job_id), value))
+        return states, puts
+
     async def note_started(self, states: list[JobState]) -> None:
         """Note that the store knows of the first start of jobs."""
         for state in states:
@@ -130,15 +172,26 @@
         self.saved_pending, self.pending_at = pending, now
         return [Put(PENDING_KEY, pending)]
 
-    def workers_put(self) -> list[Put]:
-        """Return the row of the workers that may be at work, if they have changed."""
+    def worker_changes(self, limit: int) -> tuple[dict[str, SavedWorker], list[Put], list[str]]:
+        """Return what is saved of workers after the next write, and the rows that it takes.
+
+        :param limit: rows at most; the rest comes with later writes.
+        """
         workers = self.leader.board.workers
-        current = {worker_id: worker.entry.is_ready for worker_id, worker in workers.items()}
-        if not self.leader.has_adopted or current == self.saved_workers:
-            return []
-        self.saved_workers = current
-        entries = {worker_id: to_plain(worker.entry) for worker_id, worker in workers.items()}
-        return [Put(WORKERS_KEY, entries)]
+        saved = dict(self.saved_workers)
+        if not self.leader.has_adopted:
+            return saved, [], []
+        puts, deletes = [], []
+        for worker_id, worker in workers.items():
+            current = SavedWorker.of(worker.entry)
+            if saved.get(worker_id) != current and len(puts) < limit:
+                puts.append(Put(worker_key(worker_id), to_compact(worker.entry)))
+                saved[worker_id] = current
+        gone = itertools.islice(saved.keys() - workers.keys(), limit - len(puts))
+        for worker_id in list(gone):
+            deletes.append(worker_key(worker_id))
+            del saved[worker_id]
+        return saved, puts, deletes
 
     async def delete_expired(self) -> None:
         """Delete the rows of jobs that nobody may ask for any more."""
--- /dev/null
+++ b/src/jaypier/jobs/tests/test_sizes.py
@@ -0,0 +1,77 @@
+"""Sizes at which one row or one call of the store does not hold everything."""
+
+from jaypier.jobs.model import JobStatus
+from jaypier.jobs.progress import record_progress, restore_job
+from jaypier.jobs.state import new_job_state
+from jaypier.jobs.tests.builders import make_job, make_step, play
+
+
+class TestManyWorkers:
+    def test_leader_keeps_and_recalls_more_workers_than_one_row_holds(self):
+        async def scenario(bench):
+            job = make_job(make_step(count=2400, accelerators=1, seconds=6.0))
+            bench.cluster.submit(job)
+            await bench.wait_until(lambda: len(bench.cluster.runs) == 2400, 10)
+            hidden = bench.cluster.workers["worker-07"]
+            bench.cluster.unregister(hidden)
+            await bench.kill(bench.leader_name)
+            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 25)
+            assert len(bench.cluster.runs) == 2400
+
+        play(scenario, workers=300)
+
+    def test_workers_that_are_gone_are_forgotten(self):
+        async def scenario(bench):
+            names = sorted(bench.cluster.workers)
+            rows = bench.store.rows
+            await bench.wait_until(lambda: f"workers/{names[0]}" in rows, 8)
+            bench.cluster.workers[names[0]].crash()
+            bench.cluster.unregister(bench.cluster.workers[names[0]])
+            await bench.kill(bench.leader_name)
+            await bench.wait_until(lambda: f"workers/{names[0]}" not in rows, 20)
+            assert f"workers/{names[1]}" in rows
+
+        play(scenario)
+
+
+class TestWideJobs:
+    def test_progress_of_many_wide_jobs_is_recorded(self):
+        """Their rows together are longer than one call of the store may be."""
+
+        async def scenario(bench):
+            jobs = [make_job(make_step(count=4000, accelerators=8, seconds=9e9)) for _ in range(60)]
+            for job in jobs:
+                bench.cluster.submit(job)
+            leader = next(iter(bench.leaders.values()), None)
+            await bench.wait_until(lambda: bool(bench.leaders), 5)
+            leader = next(iter(bench.leaders.values()))
+            await bench.wait_until(lambda: len(leader.board.jobs) == 60, 5)
+            for state in leader.board.jobs.values():
+                for task in state.steps[0].tasks[::2]:
+                    task.is_done = True
+                for task in state.steps[0].tasks[1::2]:
+                    task.checkpoint = f"0.{task.id.index:035}"
+                leader.board.changed.add(state.job.id)
+            leader.saver.wanted.set()
+            for job in jobs:
+                await bench.wait_until(lambda job=job: bench.progress(job) is not None, 5)
+            assert bench.leader_name is not None
+
+        play(scenario)
+
+    def test_every_second_task_done_of_the_widest_job_fits_a_row(self):
+        job = make_job(make_step(count=20_000))
+        state = new_job_state(job)
+        for task in state.steps[0].tasks[::2]:
+            task.is_done = True
+        restored = restore_job(job, record_progress(state, 0.0))
+        assert [task.is_done for task in restored.steps[0].tasks[:4]] == [True, False, True, False]
+        assert sum(task.is_done for task in restored.steps[0].tasks) == 10_000
+
+    def test_checkpoint_of_a_gang_is_kept_for_all_its_tasks(self):
+        job = make_job(make_step(count=512, is_gang=True, saves=True))
+        state = new_job_state(job)
+        for task in state.steps[0].tasks:
+            task.checkpoint = "0.5"
+        restored = restore_job(job, record_progress(state, 0.0))
+        assert {task.checkpoint for task in restored.steps[0].tasks} == {"0.5"}
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -9,7 +9,7 @@
 import attrs
 import structlog
 
-from jaypier.core.codec import to_plain
+from jaypier.core.codec import to_compact, to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.abstract import WorkerDirectory
 from jaypier.jobs.model import WorkerEntry
@@ -175,7 +175,7 @@
         puts += [Put(cancel_key(self.book.jobs[name].id), {}) for name in replaced]
         for job in written_entities(note, "jobs"):
             scheduled = build_job(job, f"{job.name}-{version}", self.wall())
-            puts.append(Put(job_key(scheduled.id), to_plain(scheduled)))
+            puts.append(Put(job_key(scheduled.id), to_compact(scheduled)))
         return puts
 
     async def find_obstacle(
--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -7,7 +7,12 @@
 
 
 class FollowedTable(ABC):
-    """Transactional rows whose changes can be followed; keys are ``"TABLE/NAME"``."""
+    """Transactional rows whose changes can be followed; keys are ``"TABLE/NAME"``.
+
+    :ivar max_row_bytes: length of a row's value as JSON at most.
+    """
+
+    max_row_bytes: int = 65536
 
     @abstractmethod
     async def read(self, key: str) -> Row | None:
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -42,6 +42,7 @@
         peers=Address(values["Ip"], first_port),
         processor_share=float(limits["CpuQuota"]) * float(limits.get("CpuCores", 1)),
         bounds=_decode_bounds(values.get("Bounds", {})),
+        max_row_bytes=int(values["platform"].get("MaxRowBytes", 65536)),
     )
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 
 import attrs
+import msgspec
 
 from jaypier.core.address import Address
 from jaypier.core.codec import to_plain
@@ -43,12 +44,22 @@
     ConditionFailed,
     FollowedTable,
     HistoryLost,
+    PlatformRefused,
     PlatformUnavailable,
     Put,
     Row,
     Transaction,
 )
 
+MAX_ROW_BYTES = 65536
+"""Longest value of a row."""
+
+MAX_ENTRIES = 100
+"""Entries of one transaction: conditions, writes, removals."""
+
+MAX_CALL_BYTES = 1 << 20
+"""Longest call, in which values take four thirds of their length."""
+
 CALL_SECONDS = 0.004
 """Time that the store takes for an answer."""
 
@@ -165,8 +176,17 @@
         except ConditionFailed:
             return
 
+    def check_size(self, transaction: Transaction) -> None:
+        """Refuse what the platform's store does not take."""
+        sizes = {put.key: len(msgspec.json.encode(put.value)) for put in transaction.puts}
+        entries = len(transaction.conditions) + len(transaction.puts) + len(transaction.deletes)
+        large = [key for key, size in sizes.items() if size > MAX_ROW_BYTES]
+        if large or entries > MAX_ENTRIES or sum(sizes.values()) > MAX_CALL_BYTES * 3 // 4:
+            raise PlatformRefused(f"store: {entries} entries, too long: {large}")
+
     def apply(self, transaction: Transaction) -> int:
         """Apply a transaction at once."""
+        self.check_size(transaction)
         for condition in transaction.conditions:
             row = self.rows.get(condition.key)
             if (row.version if row else 0) != condition.version:
