--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -89,19 +89,6 @@
     return lenient_converter.dumps(value)
 
 
-def from_json(data: bytes, expected: type[T]) -> T:
-    """Decode JSON from another program.
-
-    :raises DecodeError: when the document does not fit ``expected``.
-    """
-    try:
-        return lenient_converter.loads(data, expected)
-    except cattrs.BaseValidationError as error:
-        raise DecodeError(cattrs.transform_error(error)) from error
-    except (msgspec.DecodeError, ValueError, TypeError, KeyError) as error:
-        raise DecodeError([str(error)]) from error
-
-
 def to_plain(value: Any) -> Any:
     """Return the plain dicts and lists of an ``attrs`` instance, for dumps and tables."""
     return lenient_converter.unstructure(value)
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -16,7 +16,7 @@
 from jaypier.jobs.rows import JobTable, cancel_key, job_key
 from jaypier.notes.book import HEAD_KEY, EntityRow, NoteBook, accepted_key, row_key
 from jaypier.notes.guarantees import find_shortfall
-from jaypier.notes.model import KINDS, Job, ReleaseNote, Team, written_entities
+from jaypier.notes.model import KINDS, ReleaseNote, Team, written_entities
 from jaypier.notes.translation import build_job
 from jaypier.notes.validation import NoteRefusal, RefusalKind, check_note
 from jaypier.platform import (
@@ -263,11 +263,6 @@
             return NoteAnswer(note_id, NoteStatus.UNKNOWN, reasons=[reason])
         return NoteAnswer(note_id, NoteStatus.ACCEPTED, row.value["version"])
 
-    def find_job(self, name: str) -> tuple[Job, str] | None:
-        """Return a job by the name that notes give it, and its identity in the schedule."""
-        known = self.book.jobs.get(name)
-        return None if known is None else (known.job, known.id)
-
 
 def count_rows(transaction: Transaction) -> int:
     """Return how many rows a transaction names."""
