Process test: a gang of which the killed leader had ordered only a part may start again

Traced by its logs: the test kills the leader right after the last acknowledgement; on the busy machine that was while it ordered the gangs. That is what must happen: no part of a gang may run alone. The check is replaced by one as strict on what is promised: each task is done by exactly one run, and every other start belongs to a gang that was never whole.

--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import signal
+from collections import Counter
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from jaypier.jobs.model import RunEnd
 from standins.deployment import Deployment, Interface, call
 from standins.proxy import Passage
 
@@ -70,11 +72,24 @@
             assert code == (0 if how is signal.SIGTERM else -signal.SIGKILL)
             for job in jobs:
                 await wait_state(deployment, job, "completed", 25)
-            assert len(deployment.cluster.runs) == 18
+            assert_done_once(deployment, tasks=18, gang_size=3)
 
         play(scenario, tmp_path)
 
 
+def assert_done_once(deployment: Deployment, tasks: int, gang_size: int) -> None:
+    """Check that each task was done by one run, and that no other start was of a whole gang.
+
+    A leader that is killed while it orders a gang leaves a part of it, which never works; its
+    successor stops that part and starts the gang anew.
+    """
+    runs = list(deployment.cluster.runs.values())
+    done = Counter(run.task for run in runs if run.how is RunEnd.DONE)
+    assert len(done) == tasks and set(done.values()) == {1}
+    others = Counter((run.task.job, run.attempt) for run in runs if run.how is not RunEnd.DONE)
+    assert all(members < gang_size for members in others.values()), others
+
+
 class TestLostPathToTheStore:
     @pytest.mark.parametrize("passage", [Passage.SILENT, Passage.REFUSED, Passage.NO_ANSWERS])
     @pytest.mark.parametrize("is_leader", [True, False])
