Jobs: one rule for leases, chains and held accelerators; sums and sizes are computed once

- The end of a lease was worked out in the session, the leader and at an adoption: JobBoard.extend_lease does it for all three.
- Job.chain_seconds and JobState.remaining_chain walked steps alike: longest_chain.
The second took the steps of all open occurrences as one list, so a step of a later occurrence followed one of the first: a job that repeats was ranked by a chain that was too short (test_chain_of_each_open_occurrence_counts_by_itself failed first, 3.0 for 5.0).
Jobs that run once are ranked as before.
- urgent_use and the held capacity of fixed jobs were the same loop: held_by_teams.
- may_stop looked at the disruption budget just before its only caller did so more strictly.
- place_gang summed each rack's room up to three times, the headroom sorted all workers though none was wanted, a row's size was measured twice.

--- a/src/jaypier/jobs/board.py
+++ b/src/jaypier/jobs/board.py
@@ -221,11 +221,14 @@
             self.lose_runs(worker)
         return expired
 
-    def extend_lease(self, worker: Worker, deadline: int, now: float) -> None:
-        """Note, before an order is sent, how long it may keep the worker at work."""
-        seconds = (deadline - worker.clock_now(now)) / 1000
-        until = now + seconds * CLOCK_DRIFT + LEASE_MARGIN
+    def extend_lease(self, worker: Worker, now: float) -> int:
+        """Note, before an order is sent, that it may keep the worker at work for a whole lease.
+
+        :returns: the worker's clock in milliseconds at the end of the lease.
+        """
+        until = now + self.lease_seconds * CLOCK_DRIFT + LEASE_MARGIN
         worker.lease_until = max(worker.lease_until, until)
+        return worker.clock_now(now) + int(self.lease_seconds * 1000)
 
     @property
     def missing_workers(self) -> list[Worker]:
@@ -357,8 +360,7 @@
             return None
         run = self.start_run(step, task, worker, active.attempt, now)
         run.order_deadline = worker.clock
-        lease = self.lease_seconds * CLOCK_DRIFT + LEASE_MARGIN
-        worker.lease_until = max(worker.lease_until, now + lease)
+        self.extend_lease(worker, now)
         return run
 
     def keep_checkpoint(self, run: Run, checkpoint: str) -> None:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -413,7 +413,7 @@
         """Order a run to start, until the worker has answered."""
         worker = run.worker
         session = self.sessions[worker.id]
-        self.extend_lease(run)
+        run.order_deadline = self.board.extend_lease(worker, self.clock.now())
         session.kick.set()
         state = run.step.job
         if not state.job.is_repeatable:
@@ -421,7 +421,7 @@
                 log.info("start not recorded", task=str(run.task), attempt=run.attempt)
                 self.board.take_start_answer(run, StartAnswer.EXPIRED, self.clock.now())
                 return
-            self.extend_lease(run)
+            run.order_deadline = self.board.extend_lease(worker, self.clock.now())
         task = run.step.tasks[run.task.index]
         deadline = run.order_deadline
         order = StartOrder(run.task, run.attempt, state.job.payload, task.checkpoint, deadline)
@@ -457,12 +457,6 @@
         if answer is not StartAnswer.STARTED:
             self.decide.set()
 
-    def extend_lease(self, run: Run) -> None:
-        """Note how long the order to start a run may keep its worker at work."""
-        worker, now = run.worker, self.clock.now()
-        run.order_deadline = worker.clock_now(now) + int(self.settings.lease_seconds * 1000)
-        self.board.extend_lease(worker, run.order_deadline, now)
-
     async def stop_run(self, run: Run) -> None:
         """Order a run to stop, until the worker has answered or the run is gone."""
         worker = run.worker
--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -1,5 +1,6 @@
 """Jobs as callers hand them in, and workers as they report themselves."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 
 import attrs
@@ -96,6 +97,17 @@
         return self.demand
 
 
+def longest_chain(steps: Sequence[Step], seconds: Sequence[float]) -> float:
+    """Return the duration of the longest chain of steps that follow each other.
+
+    :param seconds: duration of each step.
+    """
+    ends: list[float] = []
+    for step, own in zip(steps, seconds, strict=True):
+        ends.append(own + max((ends[number] for number in step.after), default=0.0))
+    return max(ends, default=0.0)
+
+
 @attrs.frozen
 class Job:
     """A job that was accepted.
@@ -136,12 +148,7 @@
 
     def chain_seconds(self) -> float:
         """Return the estimated duration of its longest chain of steps."""
-        ends: list[float] = []
-        for step in self.steps:
-            ends.append(
-                step.estimated_seconds + max((ends[number] for number in step.after), default=0.0)
-            )
-        return max(ends, default=0.0)
+        return longest_chain(self.steps, [step.estimated_seconds for step in self.steps])
 
     @property
     def objective_seconds(self) -> float:
--- a/src/jaypier/jobs/placing.py
+++ b/src/jaypier/jobs/placing.py
@@ -131,21 +131,14 @@
     racks: dict[str, list[Room]] = defaultdict(list)
     for room in found:
         racks[room.worker.entry.rack].append(room)
-    fitting = [
-        (sum(room.tasks for room in rooms_of_rack), rack)
-        for rack, rooms_of_rack in racks.items()
-        if sum(room.tasks for room in rooms_of_rack) >= step.count
-    ]
+    totals = {rack: sum(room.tasks for room in each) for rack, each in racks.items()}
+    fitting = [(total, rack) for rack, total in totals.items() if total >= step.count]
     if fitting:
         return fill_widest(racks[min(fitting)[1]], step.count)
-    if can_fit_one_rack(step, all_workers):
+    if can_fit_one_rack(step, all_workers) or sum(totals.values()) < step.count:
         return []
-    widest_first = sorted(racks.values(), key=lambda each: -sum(room.tasks for room in each))
-    return (
-        fill([room for rack in widest_first for room in rack], step.count)
-        if (sum(room.tasks for room in found) >= step.count)
-        else []
-    )
+    widest_first = sorted(racks, key=lambda rack: -totals[rack])
+    return fill([room for rack in widest_first for room in racks[rack]], step.count)
 
 
 def can_fit_one_rack(step: Step, workers: Iterable[Worker]) -> bool:
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -7,12 +7,13 @@
 
 import math
 from collections import Counter, defaultdict, deque
+from collections.abc import Callable
 from operator import attrgetter
 
 import attrs
 
 from jaypier.jobs.board import JobBoard
-from jaypier.jobs.model import URGENT_PRIORITY, JobStatus, Resources
+from jaypier.jobs.model import URGENT_PRIORITY, Job, JobStatus, Resources
 from jaypier.jobs.placing import (
     FreeOf,
     by_rack,
@@ -214,7 +215,7 @@
             and state.not_before <= now
             and (is_settled or not state.is_recovered)
         ]
-        used = self.urgent_use()
+        used = self.held_by_teams(lambda job: job.priority == URGENT_PRIORITY)
         covered: set[str] = set()
         urgent = [state for state in waiting if state.job.priority == URGENT_PRIORITY]
         for state in sorted(urgent, key=lambda each: (each.job.submitted_at, each.job.id)):
@@ -238,25 +239,23 @@
 
         return sorted(waiting, key=rank)
 
-    def urgent_use(self) -> Counter[str]:
-        """Return the accelerators that each team's urgent jobs hold."""
-        used: Counter[str] = Counter()
+    def held_by_teams(self, counts: Callable[[Job], bool]) -> Counter[str]:
+        """Return the accelerators that each team's jobs hold.
+
+        :param counts: which jobs count.
+        """
+        held: Counter[str] = Counter()
         for state in self.board.jobs.values():
-            if state.job.priority == URGENT_PRIORITY:
-                used[state.job.team] += sum(run.step.step.demand.accelerators for run in state.runs)
-        return used
+            if counts(state.job):
+                held[state.job.team] += sum(run.step.step.demand.accelerators for run in state.runs)
+        return held
 
     def leaves_guarantees(self, step: StepState, workers: list[Worker]) -> bool:
         """Whether all guarantees can still be met once a step runs that cannot be stopped.
 
         What a team's fixed jobs hold beyond its own guarantee has to fit beside all guarantees.
         """
-        fixed: Counter[str] = Counter()
-        for state in self.board.jobs.values():
-            if not state.job.is_preemptible:
-                fixed[state.job.team] += sum(
-                    run.step.step.demand.accelerators for run in state.runs
-                )
+        fixed = self.held_by_teams(lambda job: not job.is_preemptible)
         fixed[step.job.job.team] += step.step.demand.accelerators * len(step.waiting)
         beyond = sum(max(0, held - self.guarantees.get(team, 0)) for team, held in fixed.items())
         total = sum(worker.entry.capacity.accelerators for worker in workers)
@@ -319,7 +318,8 @@
         arrived = sum(accelerators for _, accelerators in self.urgent_arrivals)
         total = sum(worker.entry.capacity.accelerators for worker in workers)
         wanted = min(arrived / ARRIVALS_SECONDS * HEADROOM_SECONDS, HEADROOM_SHARE * total)
-        for worker in sorted(workers, key=lambda each: (each.entry.rack, each.id)):
+        in_order = sorted(workers, key=lambda each: (each.entry.rack, each.id)) if wanted else []
+        for worker in in_order:
             if wanted <= 0:
                 break
             urgent = sum(
@@ -478,7 +478,7 @@
         """Whether a run gives way to a step, or is on its way out already."""
         held, wanted = run.step.job.job, step.job.job
         is_lower = held.is_preemptible and held.priority > wanted.priority
-        return run.is_stopping or (is_lower and run.step.may_lose(run))
+        return run.is_stopping or is_lower
 
     def loss(self, run: Run, now: float) -> float:
         """Return the core-seconds that are lost if a run is stopped."""
--- a/src/jaypier/jobs/saving.py
+++ b/src/jaypier/jobs/saving.py
@@ -122,10 +122,12 @@
                 continue
             progress = record_progress(state, wall)
             value = to_compact(progress)
-            if encoded_size(value) > limit:
+            length = encoded_size(value)
+            if length > limit:
                 log.warning("checkpoints left out of a long row", job=job_id)
                 value = to_compact(without_checkpoints(progress))
-            size += encoded_size(value)
+                length = encoded_size(value)
+            size += length
             if puts and size > MAX_WRITE_BYTES:
                 break
             board.changed.discard(job_id)
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -85,8 +85,7 @@
         deadline = None
         # A worker out of reach gets no longer lease: what it holds has to end at a known time.
         if worker.is_known and worker.runs and not worker.is_unreachable and leader.has_authority:
-            deadline = worker.clock_now(sent_at) + int(leader.settings.lease_seconds * 1000)
-            leader.board.extend_lease(worker, deadline, sent_at)
+            deadline = leader.board.extend_lease(worker, sent_at)
         wait = POLL_SECONDS if deadline is not None else 0.0
         if worker.processed > worker.durable:
             wait = 0.0
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -5,7 +5,15 @@
 
 import attrs
 
-from jaypier.jobs.model import Job, JobStatus, Resources, Step, TaskId, WorkerEntry
+from jaypier.jobs.model import (
+    Job,
+    JobStatus,
+    Resources,
+    Step,
+    TaskId,
+    WorkerEntry,
+    longest_chain,
+)
 
 ACCELERATOR_CORES = 8
 """Processor cores that one accelerator counts as, in the users' rules on wasted work."""
@@ -217,11 +225,14 @@
 
     def remaining_chain(self) -> float:
         """Return the estimated duration of the longest chain of steps that are left."""
-        ends: list[float] = []
-        for step in self.steps:
-            own = 0.0 if step.is_done else step.step.estimated_seconds
-            ends.append(own + max((ends[number] for number in step.step.after), default=0.0))
-        return max(ends, default=0.0)
+        chains = [
+            longest_chain(
+                self.job.steps,
+                [0.0 if step.is_done else step.step.estimated_seconds for step in steps],
+            )
+            for steps in self.occurrences.values()
+        ]
+        return max(chains, default=0.0)
 
 
 @attrs.define(eq=False)
--- a/src/jaypier/jobs/tests/test_occurrences.py
+++ b/src/jaypier/jobs/tests/test_occurrences.py
@@ -106,3 +106,14 @@
         assert unknown == []
         assert [run.task for run in state.runs] == [task]
         assert state.next_occurrence == 1
+
+
+class TestEstimates:
+    def test_chain_of_each_open_occurrence_counts_by_itself(self):
+        steps = [make_step(seconds=2.0), make_step(seconds=3.0, after=(0,))]
+        board = make_board(1)
+        state = board.add_job(make_job(*steps, repeats=2, first_start_at=0.0))
+        board.open_due(1.0)
+        for step in state.occurrences[0]:
+            board.finish_task(step, step.tasks[0])
+        assert state.remaining_chain() == 5.0
