Limits are asked for at each connection; one way over the own path; what exists after a note is worked out once

- A task copied the limits of the configuration to the server every 0.5 s: the server asks for them when a connection opens, so the task and its constant are gone.
The tests of limits set a function now; their assertions are the same.
- RelayedTransport noted a lost path in the same words for its own calls and for those of peers: call_directly.
- Teams and data centres after a note were merged in three places: NoteBook.entities_after.
The jobs that a note names: named_jobs.
- The row limit of the store is given to StoreTable when it is made, not set on it afterwards.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -43,9 +43,6 @@
 DRAIN_MARGIN_SECONDS = 1.0
 """Time kept back of the grace period of a planned stop."""
 
-LIMITS_SECONDS = 0.5
-"""Time between two looks at the limits on callers; a change is to be in force within 2 s."""
-
 log = structlog.get_logger()
 
 
@@ -68,8 +65,7 @@
         store = ConnectionPool(settings.store, max_body=MAX_ANSWER_BYTES)
         peers = PeerList(settings.name, self.clock, self.rng)
         self.transport = RelayedTransport(store, peers, self.rng)
-        self.table = StoreTable(self.transport)
-        self.table.max_row_bytes = settings.max_row_bytes
+        self.table = StoreTable(self.transport, settings.max_row_bytes)
         self.directory = StoreWorkerDirectory(self.table)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
@@ -215,13 +211,10 @@
                 leader.decide.set()
             await asyncio.sleep(0.1)
 
-    async def apply_limits(self, server: HttpServer) -> None:
-        """Keep the limits on callers as the configuration says, until cancelled."""
-        while True:
-            configuration = self.keeper.configuration
-            if configuration is not None:
-                server.limits = configuration.limits
-            await asyncio.sleep(LIMITS_SECONDS)
+    def caller_limits(self) -> Limits:
+        """Return the limits on callers that are in force."""
+        configuration = self.keeper.configuration
+        return configuration.limits if configuration else Limits()
 
     # Life
 
@@ -229,13 +222,13 @@
         """Return the servers of all addresses, that of callers first."""
         settings = self.settings
         handlers = [
-            (settings.callers, self.front.handle, Limits()),
-            (settings.readiness, self.handle_ready, Limits()),
-            (settings.metrics, self.handle_metrics, Limits()),
-            (settings.peers, self.transport.handle, Limits(body_bytes=MAX_ANSWER_BYTES)),
+            (settings.callers, self.front.handle, self.caller_limits),
+            (settings.readiness, self.handle_ready, Limits),
+            (settings.metrics, self.handle_metrics, Limits),
+            (settings.peers, self.transport.handle, lambda: Limits(body_bytes=MAX_ANSWER_BYTES)),
         ]
         if settings.operators is not None and self.operator_api is not None:
-            handlers.append((settings.operators.address, self.operator_api.handle, Limits()))
+            handlers.append((settings.operators.address, self.operator_api.handle, Limits))
         return [
             HttpServer(address, handler, self.on_handler_error, limits)
             for address, handler, limits in handlers
@@ -253,7 +246,6 @@
                 supervise(work, name, self.on_task_failure)
                 for name, work in (
                     ("keeper", self.keeper.run()),
-                    ("limits", self.apply_limits(servers[0])),
                     ("probes", self.transport.run_probes()),
                     ("peers", self.transport.run_registration(self.table, settings.peers)),
                 )
--- a/src/jaypier/notes/book.py
+++ b/src/jaypier/notes/book.py
@@ -9,7 +9,16 @@
 import attrs
 
 from jaypier.core.codec import from_plain
-from jaypier.notes.model import KINDS, DataCentre, Job, Queue, Team, entity_key
+from jaypier.notes.model import (
+    KINDS,
+    DataCentre,
+    Job,
+    Queue,
+    ReleaseNote,
+    Team,
+    entity_key,
+    written_entities,
+)
 from jaypier.platform import Row
 
 NOTES_TABLE = "notes"
@@ -78,6 +87,13 @@
         self.queues: dict[str, Queue] = {}
         self.revisions: dict[str, int] = {}
 
+    def entities_after(self, note: ReleaseNote, kind: str) -> dict[str, Any]:
+        """Return the entities of one kind, other than jobs, that exist once a note is applied."""
+        written = {entity.name: entity for entity in written_entities(note, kind)}
+        after = {**getattr(self, kind), **written}
+        withdrawn = set(getattr(note.withdrawn, kind))
+        return {name: entity for name, entity in after.items() if name not in withdrawn}
+
     def take(self, rows: list[Row]) -> None:
         """Take in rows of the notes table."""
         for row in rows:
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -16,7 +16,7 @@
 from jaypier.jobs.rows import JobTable, cancel_key, job_key
 from jaypier.notes.book import HEAD_KEY, EntityRow, NoteBook, accepted_key, row_key
 from jaypier.notes.guarantees import find_shortfall
-from jaypier.notes.model import KINDS, ReleaseNote, Team, written_entities
+from jaypier.notes.model import KINDS, ReleaseNote, written_entities
 from jaypier.notes.translation import build_job
 from jaypier.notes.validation import NoteRefusal, RefusalKind, check_note
 from jaypier.platform import (
@@ -186,25 +186,17 @@
         if rows > MAX_ROWS:
             reason = f"the note needs {rows} rows and one write takes {MAX_ROWS}; split it"
             return NoteRefusal(RefusalKind.INVALID, [reason])
-        teams = self.teams_after(note)
+        teams = list(self.book.entities_after(note, "teams").values())
         old = {team.name: team.guarantee for team in self.book.teams.values()}
         if all(team.guarantee == old.get(team.name, []) for team in teams):
             return None
         missing = find_shortfall(teams, await self.usable_workers(note))
         return NoteRefusal(RefusalKind.SHORTFALL, missing) if missing else None
 
-    def teams_after(self, note: ReleaseNote) -> list[Team]:
-        """Return the teams that exist once a note is applied."""
-        teams = dict(self.book.teams)
-        teams |= {team.name: team for team in written_entities(note, "teams")}
-        return [team for name, team in teams.items() if name not in note.withdrawn.teams]
-
     async def usable_workers(self, note: ReleaseNote) -> list[WorkerEntry]:
         """Return the workers of data centres that are in service once a note is applied."""
-        centres = dict(self.book.data_centres)
-        centres |= {centre.name: centre for centre in written_entities(note, "data_centres")}
-        out = {centre.name for centre in centres.values() if not centre.in_service}
-        out -= set(note.withdrawn.data_centres)
+        centres = self.book.entities_after(note, "data_centres").values()
+        out = {centre.name for centre in centres if not centre.in_service}
         listing = await self.directory.snapshot()
         return [
             entry
@@ -214,7 +206,7 @@
 
     async def ended_jobs(self, note: ReleaseNote) -> frozenset[str]:
         """Return the jobs that a note names, or whose team it withdraws, and that have ended."""
-        named = {job.name for job in written_entities(note, "jobs")} | set(note.withdrawn.jobs)
+        named = named_jobs(note)
         of_teams = {
             name
             for name, known in self.book.jobs.items()
@@ -234,7 +226,7 @@
 
     async def forgotten_rows(self, note: ReleaseNote, room: int) -> list[str]:
         """Return rows of jobs that nobody can ask for any more, to be deleted with a note."""
-        named = {job.name for job in written_entities(note, "jobs")} | set(note.withdrawn.jobs)
+        named = named_jobs(note)
         names = sorted(set(self.book.jobs) - named)
         wanted = min(room, len(names), 2 * len(named) + FORGET_MARGIN)
         sample = self.rng.sample(names, max(0, wanted))
@@ -264,6 +256,11 @@
         return NoteAnswer(note_id, NoteStatus.ACCEPTED, row.value["version"])
 
 
+def named_jobs(note: ReleaseNote) -> set[str]:
+    """Return the jobs that a note names."""
+    return {job.name for job in written_entities(note, "jobs")} | set(note.withdrawn.jobs)
+
+
 def count_rows(transaction: Transaction) -> int:
     """Return how many rows a transaction names."""
     return len(transaction.conditions) + len(transaction.puts) + len(transaction.deletes)
--- a/src/jaypier/notes/validation.py
+++ b/src/jaypier/notes/validation.py
@@ -124,13 +124,8 @@
 
 def _shared_keys(note: ReleaseNote, book: NoteBook) -> list[str]:
     """Find keys that two teams would have once the note is applied."""
-    teams = {**book.teams, **{team.name: team for team in written_entities(note, "teams")}}
-    holders = [
-        (key, team.name)
-        for team in teams.values()
-        if team.name not in note.withdrawn.teams
-        for key in set(team.keys)
-    ]
+    teams = book.entities_after(note, "teams").values()
+    holders = [(key, team.name) for team in teams for key in set(team.keys)]
     counts = Counter(key for key, _ in holders)
     return [
         f"teams/{name} has a key that another team has; give each its own"
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -42,12 +42,16 @@
     """Rows of the store over HTTP.
 
     :param transport: the way to the store.
+    :param max_row_bytes: length of a row's value at most.
     :param timeout: seconds to wait for one answer.
     """
 
-    def __init__(self, transport: StoreTransport, timeout: float = CALL_SECONDS) -> None:
-        self.timeout = timeout
+    def __init__(
+        self, transport: StoreTransport, max_row_bytes: int, timeout: float = CALL_SECONDS
+    ) -> None:
         self.transport = transport
+        self.max_row_bytes = max_row_bytes
+        self.timeout = timeout
         self.clock_offset = 0.0
 
     async def read(self, key: str) -> Row | None:
--- a/src/jaypier/relay/transport.py
+++ b/src/jaypier/relay/transport.py
@@ -11,7 +11,7 @@
 from jaypier.platform.store import PROBE
 from jaypier.relay.peers import PeerList
 from jaypier.wire.client import ConnectionPool
-from jaypier.wire.errors import ConnectError, TransportError
+from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 NO_STORE_HEADER = b"jaypier-no-store"
@@ -66,9 +66,8 @@
             if response is not None:
                 return response
         try:
-            response = await self.direct.exchange(request, timeout)
+            response = await self.call_directly(request, timeout)
         except TransportError as error:
-            self.note_lost(str(error))
             if error.sent and request.method != "GET":
                 raise
             relayed = await self.ask_peers(request, timeout)
@@ -76,11 +75,21 @@
                 raise
             return relayed
         if response.status == 503:
-            self.note_lost("status 503")
             return await self.ask_peers(request, timeout) or response
         self.note_reached()
         return response
 
+    async def call_directly(self, request: HttpRequest, timeout: float) -> HttpResponse:
+        """Make a call over the own path; note when that does not work."""
+        try:
+            response = await self.direct.exchange(request, timeout)
+        except TransportError as error:
+            self.note_lost(str(error))
+            raise
+        if response.status == 503:
+            self.note_lost("status 503")
+        return response
+
     async def ask_peers(self, request: HttpRequest, timeout: float) -> HttpResponse | None:
         """Let a peer make a call; return ``None`` when none can, and the call was not made.
 
@@ -126,19 +135,16 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Pass a peer's call on to the store, over the own path only."""
+        no_store = HttpResponse(503, [(NO_STORE_HEADER, b"1")])
         if self.is_lost:
-            return HttpResponse(503, [(NO_STORE_HEADER, b"1")])
+            return no_store
         forwarded = HttpRequest(request.method, request.target, body=request.body)
         try:
-            response = await self.direct.exchange(forwarded, RELAY_SECONDS)
+            response = await self.call_directly(forwarded, RELAY_SECONDS)
         except TransportError as error:
-            self.note_lost(str(error))
-            if isinstance(error, ConnectError) or request.method == "GET":
-                return HttpResponse(503, [(NO_STORE_HEADER, b"1")])
-            return HttpResponse(504)
+            return HttpResponse(504) if error.sent and request.method != "GET" else no_store
         if response.status == 503:
-            self.note_lost("status 503")
-            return HttpResponse(503, [(NO_STORE_HEADER, b"1")])
+            return no_store
         return HttpResponse(response.status, body=response.body)
 
     # Life
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -45,7 +45,7 @@
 
     def __init__(self, server: "HttpServer") -> None:
         self.server = server
-        self.limits = server.limits
+        self.limits = server.limits()
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
         self.transport: asyncio.Transport | None = None
         self.request: HttpRequest | None = None
@@ -216,7 +216,7 @@
     :param address: where to listen.
     :param handler: coroutine function from request to response.
     :param on_handler_error: called with each exception that the handler lets through.
-    :ivar limits: limits of connections that are opened from now on.
+    :param limits: returns the limits of a connection that is opened now.
     """
 
     connection_class = ServerConnection
@@ -227,12 +227,12 @@
         address: Address,
         handler: Handler,
         on_handler_error: Callable[[Exception], None],
-        limits: Limits | None = None,
+        limits: Callable[[], Limits] = Limits,
     ) -> None:
         self.address = address
         self.handler = handler
         self.on_handler_error = on_handler_error
-        self.limits = limits or Limits()
+        self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -138,7 +138,7 @@
 
     def test_body_and_head(self):
         async def scenario(scene):
-            scene.server.limits = Limits(header_bytes=500, body_bytes=10)
+            scene.server.limits = lambda: Limits(header_bytes=500, body_bytes=10)
             head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n"
             answer = await scene.send_raw(head + b"\r\n" + b"x" * 11)
             assert answer.split()[1] == b"413"
@@ -149,7 +149,7 @@
 
     def test_request_that_comes_too_slowly_is_told_so(self):
         async def scenario(scene):
-            scene.server.limits = Limits(header_seconds=0.05)
+            scene.server.limits = lambda: Limits(header_seconds=0.05)
             answer = await scene.send_raw(b"POST / HTTP/1.1\r\nhost:")
             assert answer.split()[1] == b"408"
 
@@ -157,14 +157,14 @@
 
     def test_idle_connection_is_closed(self):
         async def scenario(scene):
-            scene.server.limits = Limits(idle_seconds=0.05)
+            scene.server.limits = lambda: Limits(idle_seconds=0.05)
             assert await scene.send_raw(b"") == b""
 
         play(scenario)
 
     def test_long_work_is_neither_idle_nor_slow(self):
         async def scenario(scene):
-            scene.server.limits = Limits(idle_seconds=0.01, header_seconds=0.01)
+            scene.server.limits = lambda: Limits(idle_seconds=0.01, header_seconds=0.01)
             scene.gate.clear()
             exchange = asyncio.create_task(scene.pool.exchange(REQUEST, 10.0))
             await scene.entered.wait()
