--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -198,6 +198,15 @@
             assert self.clock.now() < end, f"not so after {seconds} s"
             await asyncio.sleep(0.02)
 
+    async def wait_status(self, job: Job, status: JobStatus, seconds: float) -> None:
+        """Wait until the recorded status of a job is as given."""
+        await self.wait_until(lambda: self.status(job) is status, seconds)
+
+    async def start_job(self, job: Job, runs: int, seconds: float) -> None:
+        """Hand the first job in and wait until so many runs have started in all."""
+        self.cluster.submit(job)
+        await self.wait_until(lambda: len(self.cluster.runs) == runs, seconds)
+
     async def close(self) -> None:
         """End every daemon."""
         for name in list(self.tasks):
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -12,8 +12,8 @@
             job = make_job(make_step(count=3, seconds=2.0), make_step(seconds=1.0, after=(0,)))
             await bench.wait_until(lambda: bench.leader_name is not None, 5)
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 0.2)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 3.5)
+            await bench.wait_status(job, JobStatus.RUNNING, 0.2)
+            await bench.wait_status(job, JobStatus.COMPLETED, 3.5)
 
         play(scenario)
 
@@ -21,7 +21,7 @@
         async def scenario(bench):
             job = make_job(make_step(count=4, accelerators=8, is_gang=True))
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             assert len(bench.cluster.runs) == 4
 
         play(scenario)
@@ -30,7 +30,7 @@
         async def scenario(bench):
             job = make_job()
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             await bench.wait_until(lambda: 1 in bench.cluster.seen.values(), 0.2)
 
         play(scenario)
@@ -38,10 +38,9 @@
     def test_cancelled_job_stops(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, seconds=60.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             bench.cluster.cancel(job.id)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.CANCELLED, 1)
+            await bench.wait_status(job, JobStatus.CANCELLED, 1)
             await bench.wait_until(
                 lambda: all(run.end is not None for run in bench.cluster.runs.values()), 1
             )
@@ -53,10 +52,9 @@
     def test_runs_go_on_under_the_next_leader(self):
         async def scenario(bench):
             job = make_job(make_step(count=8, seconds=5.0), make_step(seconds=1.0, after=(0,)))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 8, 8)
+            await bench.start_job(job, 8, 8)
             await bench.kill(bench.leader_name)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             assert len(bench.cluster.runs) == 9
 
         play(scenario)
@@ -64,21 +62,19 @@
     def test_next_leader_waits_for_what_runs_on_a_worker_out_of_its_reach(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, accelerators=8, seconds=5.5))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             first = bench.leader_name
             other = "vm-b" if first == "vm-a" else "vm-a"
             bench.cluster.cuts.add((other, "worker-00"))
             await bench.kill(first)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 40)
+            await bench.wait_status(job, JobStatus.COMPLETED, 40)
 
         play(scenario)
 
     def test_next_leader_knows_workers_whose_entries_have_expired(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, accelerators=8, seconds=9.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             await asyncio.sleep(1.5)
             hidden = bench.cluster.workers["worker-02"]
             bench.cluster.unregister(hidden)
@@ -87,7 +83,7 @@
             await bench.wait_until(lambda: bench.leader_name is not None, 5)
             await asyncio.sleep(0.5)
             bench.cluster.register(hidden)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 40)
+            await bench.wait_status(job, JobStatus.COMPLETED, 40)
             assert len(bench.cluster.runs) == 4
 
         play(scenario)
@@ -95,13 +91,12 @@
     def test_leader_without_the_store_is_followed_by_another(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, accelerators=8, seconds=9.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             first = bench.leader_name
             bench.store.unreachable.add(first)
             await bench.wait_until(lambda: len(bench.leaders) == 2, 5)
             await bench.wait_until(lambda: list(bench.leaders) != [first], 5)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 20)
+            await bench.wait_status(job, JobStatus.COMPLETED, 20)
             assert len(bench.cluster.runs) == 4
 
         play(scenario)
@@ -111,12 +106,11 @@
     def test_runs_outlast_an_outage_of_the_store(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, seconds=9.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             bench.store.is_down = True
             await asyncio.sleep(8.0)
             bench.store.is_down = False
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 5)
+            await bench.wait_status(job, JobStatus.COMPLETED, 5)
             assert len(bench.cluster.runs) == 4
 
         play(scenario)
@@ -130,7 +124,7 @@
                 await asyncio.sleep(0.7)
             bench.store.lost_share = 0.0
             for job in jobs:
-                await bench.wait_until(lambda job=job: bench.status(job) is JobStatus.COMPLETED, 30)
+                await bench.wait_status(job, JobStatus.COMPLETED, 30)
 
         play(scenario)
 
@@ -140,7 +134,7 @@
             job = make_job()
             bench.cluster.submit(job)
             bench.store.compact()
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
 
         play(scenario)
 
@@ -149,12 +143,11 @@
     def test_tasks_of_a_crashed_worker_run_elsewhere(self):
         async def scenario(bench):
             job = make_job(make_step(count=4, accelerators=4, seconds=4.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 4, 8)
+            await bench.start_job(job, 4, 8)
             worker = next(each for each in bench.cluster.workers.values() if each.active)
             worker.crash()
             bench.cluster.unregister(worker)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 20)
+            await bench.wait_status(job, JobStatus.COMPLETED, 20)
 
         play(scenario)
 
@@ -169,7 +162,7 @@
             for job in jobs:
                 bench.cluster.submit(job)
             for job in jobs:
-                await bench.wait_until(lambda job=job: bench.status(job) is JobStatus.COMPLETED, 60)
+                await bench.wait_status(job, JobStatus.COMPLETED, 60)
 
         play(scenario)
 
@@ -188,7 +181,7 @@
             await bench.wait_until(lambda: bench.leader_name is not None, 5)
             job = make_job()
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 4)
+            await bench.wait_status(job, JobStatus.RUNNING, 4)
 
         play(scenario)
 
@@ -205,7 +198,7 @@
             await bench.wait_until(lambda: bench.leader_name is not None, 5)
             job = make_job()
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.RUNNING, 0.5)
+            await bench.wait_status(job, JobStatus.RUNNING, 0.5)
 
         play(scenario)
 
--- a/src/jaypier/jobs/tests/test_occurrences.py
+++ b/src/jaypier/jobs/tests/test_occurrences.py
@@ -26,7 +26,7 @@
                 interval_seconds=4.0,
             )
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 25)
+            await bench.wait_status(job, JobStatus.COMPLETED, 25)
             starts = starts_of(bench, job)
             assert {number: len(times) for number, times in starts.items()} == {0: 3, 1: 3, 2: 3}
             assert all(0 <= min(starts[number]) - job.due_at(number) < 0.5 for number in starts)
@@ -39,7 +39,7 @@
                 make_step(seconds=4.0), repeats=4, first_start_at=3.0, interval_seconds=1.0
             )
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 14)
+            await bench.wait_status(job, JobStatus.COMPLETED, 14)
             assert len(starts_of(bench, job)) == 4
 
         play(scenario)
@@ -52,7 +52,7 @@
             bench.cluster.submit(job)
             await bench.wait_until(lambda: len(starts_of(bench, job)) == 3, 10)
             bench.cluster.cancel(job.id)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.CANCELLED, 2)
+            await bench.wait_status(job, JobStatus.CANCELLED, 2)
 
         play(scenario)
 
@@ -73,7 +73,7 @@
             bench.cluster.submit(job)
             await bench.wait_until(lambda: len(starts_of(bench, job)) == 2, 12)
             await bench.kill(bench.leader_name)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 30)
+            await bench.wait_status(job, JobStatus.COMPLETED, 30)
             assert {len(times) for times in starts_of(bench, job).values()} == {2}
 
         play(scenario)
--- a/src/jaypier/jobs/tests/test_saving.py
+++ b/src/jaypier/jobs/tests/test_saving.py
@@ -30,7 +30,7 @@
             bench.cluster.submit(first)
             await bench.wait_until(lambda: worker.active, 8)
             bench.cluster.submit(second)
-            await bench.wait_until(lambda: bench.status(first) is JobStatus.RUNNING, 1)
+            await bench.wait_status(first, JobStatus.RUNNING, 1)
             for job in (first, second):
                 delay_write(bench.store, progress_key(job.id), 1.5)
             await bench.wait_until(lambda: worker.ends == 1, 3)
@@ -49,7 +49,7 @@
         async def scenario(bench):
             job = make_job()
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             await bench.kill(bench.leader_name)
             await bench.wait_until(lambda: bench.leader_name is not None, 5)
             assert progress_key(job.id) in bench.store.rows
@@ -63,7 +63,7 @@
         async def scenario(bench):
             job = make_job()
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             ended_at = bench.clock.now()
             await bench.kill(bench.leader_name)
             rows = bench.store.rows
--- a/src/jaypier/jobs/tests/test_single_start.py
+++ b/src/jaypier/jobs/tests/test_single_start.py
@@ -17,7 +17,7 @@
         async def scenario(bench):
             job = make_job(make_step(count=3, is_gang=True), **SINGLE)
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 8)
+            await bench.wait_status(job, JobStatus.COMPLETED, 8)
             assert starts_of(bench, job) == 3
 
         play(scenario)
@@ -30,7 +30,7 @@
             (held,) = [each for each in bench.cluster.workers.values() if each.active]
             held.crash()
             held.restart()
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.UNKNOWN, 20)
+            await bench.wait_status(job, JobStatus.UNKNOWN, 20)
             await bench.wait_until(lambda: not bench.cluster.workers[held.entry.id].active, 20)
             assert starts_of(bench, job) == 1
 
@@ -42,7 +42,7 @@
             bench.cluster.submit(job)
             await bench.wait_until(lambda: starts_of(bench, job) == 1, 8)
             await bench.kill(bench.leader_name)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 20)
+            await bench.wait_status(job, JobStatus.COMPLETED, 20)
             assert starts_of(bench, job) == 1
 
         play(scenario)
@@ -56,7 +56,7 @@
             (held,) = [each for each in bench.cluster.workers.values() if each.active]
             held.crash()
             held.restart()
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.UNKNOWN, 20)
+            await bench.wait_status(job, JobStatus.UNKNOWN, 20)
             assert starts_of(bench, job) == 1
 
         play(scenario)
@@ -76,7 +76,7 @@
             await bench.wait_until(lambda: starts_of(bench, other) == 1, 1.5)
             assert starts_of(bench, job) == 0
             bench.store.is_down = False
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 20)
+            await bench.wait_status(job, JobStatus.COMPLETED, 20)
             assert starts_of(bench, job) == 1
 
         play(scenario)
@@ -87,7 +87,7 @@
                 worker.fails_all = True
             job = make_job(**SINGLE)
             bench.cluster.submit(job)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.FAILED, 8)
+            await bench.wait_status(job, JobStatus.FAILED, 8)
             assert starts_of(bench, job) == 1
 
         play(scenario)
--- a/src/jaypier/jobs/tests/test_sizes.py
+++ b/src/jaypier/jobs/tests/test_sizes.py
@@ -10,12 +10,11 @@
     def test_leader_keeps_and_recalls_more_workers_than_one_row_holds(self):
         async def scenario(bench):
             job = make_job(make_step(count=2400, accelerators=1, seconds=6.0))
-            bench.cluster.submit(job)
-            await bench.wait_until(lambda: len(bench.cluster.runs) == 2400, 10)
+            await bench.start_job(job, 2400, 10)
             hidden = bench.cluster.workers["worker-07"]
             bench.cluster.unregister(hidden)
             await bench.kill(bench.leader_name)
-            await bench.wait_until(lambda: bench.status(job) is JobStatus.COMPLETED, 25)
+            await bench.wait_status(job, JobStatus.COMPLETED, 25)
             assert len(bench.cluster.runs) == 2400
 
         play(scenario, workers=300)
