--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -35,6 +35,7 @@
         self.response: HttpResponse | None = None
         self.body: list[bytes] = []
         self.body_size = 0
+        self.received_bytes = 0
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -55,6 +56,7 @@
         if self.waiter is None or self.waiter.done():
             self.transport.abort()
             return
+        self.received_bytes += len(data)
         try:
             self.http.receive_data(data)
             self.process_events()
@@ -107,6 +109,7 @@
         loop = asyncio.get_running_loop()
         self.waiter = loop.create_future()
         self.response, self.body, self.body_size = None, [], 0
+        self.received_bytes = 0
         headers = [
             (b"host", request.header(b"host", str(self.address)).encode()),
             *(header for header in request.headers if header[0] != b"host"),
@@ -141,6 +144,11 @@
         """Fail the exchange whose response has not arrived in time."""
         if self.waiter is not None and not self.waiter.done():
             message = f"{self.address} did not answer in time"
+            if self.received_bytes:
+                message = (
+                    f"{self.address} sent {self.received_bytes} bytes of its response in time, "
+                    "not all of it"
+                )
             self.waiter.set_exception(ExchangeTimeout(message, sent=True))
 
     def finish_exchange(self) -> None:
--- /dev/null
+++ b/src/jaypier/wire/tests/test_client.py
@@ -0,0 +1,57 @@
+"""Tests of the client's time-outs over loopback sockets."""
+
+import asyncio
+from collections.abc import Iterable
+
+import pytest
+
+from jaypier.core.address import Address
+from jaypier.wire.client import ConnectionPool
+from jaypier.wire.errors import ExchangeTimeout
+from jaypier.wire.messages import HttpRequest
+
+REQUEST = HttpRequest("GET", "/rows")
+
+
+class SlowServer:
+    """A server that sends the head of a response at once and its body in pieces.
+
+    :param pieces: parts of the body to send; the response announces ``size`` bytes.
+    :param pause_seconds: pause before each piece.
+    """
+
+    def __init__(self, size: int, pieces: Iterable[bytes], pause_seconds: float) -> None:
+        self.size = size
+        self.pieces = pieces
+        self.pause_seconds = pause_seconds
+        self.server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> ConnectionPool:
+        self.server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
+        return ConnectionPool(Address(*self.server.sockets[0].getsockname()[:2]))
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.server.close()
+
+    async def respond(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % self.size)
+        try:
+            for piece in self.pieces:
+                await asyncio.sleep(self.pause_seconds)
+                writer.write(piece)
+                await writer.drain()
+            await reader.read()
+        except ConnectionError:
+            pass
+        writer.close()
+
+
+class TestTimeout:
+    def test_error_tells_how_much_of_the_response_arrived(self):
+        async def scenario() -> None:
+            async with SlowServer(100, [b"x" * 60], 0.0) as pool, pool:
+                with pytest.raises(ExchangeTimeout, match=r"sent \d+ bytes of its response"):
+                    await pool.exchange(REQUEST, 0.2)
+
+        asyncio.run(scenario())
