Failing tests: a large configuration does not arrive over a slow link

The stand-in store held operators to the row limit of daemons, which kept such a configuration out of every test.

--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -48,6 +48,25 @@
 
 
 class TestTimeout:
+    def test_response_that_keeps_arriving_is_not_late(self):
+        async def scenario() -> None:
+            async with SlowServer(200, [b"x" * 10] * 20, 0.05) as pool, pool:
+                response = await pool.exchange(REQUEST, 0.3)
+                assert response.body == b"x" * 200
+
+        asyncio.run(scenario())
+
+    def test_response_that_stops_midway_is_late(self):
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            async with SlowServer(200, [b"x" * 10] * 4, 0.05) as pool, pool:
+                began = loop.time()
+                with pytest.raises(ExchangeTimeout):
+                    await pool.exchange(REQUEST, 0.3)
+                assert loop.time() - began < 1.5
+
+        asyncio.run(scenario())
+
     def test_error_tells_how_much_of_the_response_arrived(self):
         async def scenario() -> None:
             async with SlowServer(100, [b"x" * 60], 0.0) as pool, pool:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -229,6 +229,14 @@
         :raises PlatformRefused: if the transaction is too large.
         """
         self.check_limits(transaction)
+        return self.apply_from_operator(transaction)
+
+    def apply_from_operator(self, transaction: Transaction) -> int:
+        """Apply a transaction of the operators, whose rows may exceed ``MAX_ROW_BYTES``.
+
+        :returns: version of the rows that were written.
+        :raises ConditionFailed: if a condition does not hold; nothing is applied.
+        """
         for condition in transaction.conditions:
             row = self.rows.get(condition.key)
             if (row.version if row else 0) != condition.version:
--- a/standins/protocol.py
+++ b/standins/protocol.py
@@ -303,7 +303,7 @@
 
     def write_configuration(self, configuration: dict[str, Any]) -> None:
         """Write a configuration to the store, as operators of the platform do."""
-        self.cluster.store.apply(Transaction(puts=[Put("op/config", configuration)]))
+        self.cluster.store.apply_from_operator(Transaction(puts=[Put("op/config", configuration)]))
 
     def evacuate(self, data_centre: str) -> None:
         """Take a data centre out of service, as operators of the platform do."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,12 +1,16 @@
 """TCP proxy on the loopback interface that simulates network faults."""
 
 import asyncio
+import math
 from enum import Enum
 
 from jaypier.core.address import Address
 
 READ_CHUNK_BYTES = 65536
 
+LIMITED_CHUNK_BYTES = 8192
+"""Size of a chunk while the bandwidth is limited, so that parallel transfers share it evenly."""
+
 
 class ProxyMode(Enum):
     """What the proxy does with connections and data.
@@ -29,6 +33,7 @@
     :param target: address to connect to.
     :ivar mode: fault to simulate, which also applies to open connections.
     :ivar delay_seconds: delay of each chunk of data.
+    :ivar bytes_per_second: bandwidth that all connections share in each direction.
     """
 
     def __init__(self, listen: Address, target: Address) -> None:
@@ -36,6 +41,8 @@
         self.target = target
         self.mode = ProxyMode.FORWARD
         self.delay_seconds = 0.0
+        self.bytes_per_second = math.inf
+        self.free_at = {True: 0.0, False: 0.0}
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
         self.server: asyncio.Server | None = None
@@ -93,6 +100,19 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    @property
+    def chunk_bytes(self) -> int:
+        """Maximum number of bytes to forward at once."""
+        return READ_CHUNK_BYTES if math.isinf(self.bytes_per_second) else LIMITED_CHUNK_BYTES
+
+    async def wait_for_bandwidth(self, size: int, is_response: bool) -> None:
+        """Wait for the time that ``size`` bytes take on the link, after those before them."""
+        now = asyncio.get_running_loop().time()
+        free_at = max(now, self.free_at[is_response]) + size / self.bytes_per_second
+        self.free_at[is_response] = free_at
+        if free_at > now:
+            await asyncio.sleep(free_at - now)
+
     async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
     ) -> None:
@@ -100,9 +120,10 @@
 
         :raises ConnectionResetError: at the end of the stream, so that the other direction ends.
         """
-        while data := await reader.read(READ_CHUNK_BYTES):
+        while data := await reader.read(self.chunk_bytes):
             if self.delay_seconds:
                 await asyncio.sleep(self.delay_seconds)
+            await self.wait_for_bandwidth(len(data), is_response)
             if self.mode is ProxyMode.REFUSE:
                 break
             if self.mode is ProxyMode.DROP:
