Limit the time without progress of an exchange, not its whole duration

Cause: ClientConnection.exchange limited the time until the whole response had arrived, 1.7 s for a watch and 0.5 s for the first one after a failure, whatever its size. 790 kB take 1.3 s at 5 Mbit/s, so the transfer was cut off, started again from the first byte, and sent through up to three peers beside it, for as long as the row was large.

Change: the time-out starts anew with each part of the response; the whole may take 10 s longer, as servers allow. The limit of StoreTable follows the same progress. A relaying daemon announces progress with interim responses (102) while it receives. A request body gets the time that it takes at 2 Mbit/s, for the same fault in the other direction.

--- a/src/jaypier/platform/abstract.py
+++ b/src/jaypier/platform/abstract.py
@@ -5,6 +5,7 @@
 from typing import Generic, TypeVar
 
 from jaypier.platform.model import Changes, Row, Transaction
+from jaypier.wire.client import ProgressCallback
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 T = TypeVar("T")
@@ -108,10 +109,14 @@
     """Carries requests to the store and its responses back."""
 
     @abstractmethod
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse:
         """Send one request and return its response.
 
-        :param timeout: time to wait for the response, in seconds.
+        :param timeout: time to wait for the first part of the response and for each further one, in
+            seconds.
+        :param on_progress: called whenever a part of the response has arrived.
         :raises TransportError: if there is no response; ``sent`` tells whether the store may have
             executed the request.
         """
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -24,7 +24,8 @@
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 CALL_TIMEOUT_SECONDS = 1.0
-"""Time to wait for a response: 15 times the usual time under a load that slows the store."""
+"""Time to wait for each part of a response: 15 times the usual time under a load that slows the
+store."""
 
 WATCH_TIMEOUT_MARGIN_SECONDS = 0.5
 """Time to wait for the response to a long poll, beyond the poll's own wait time."""
@@ -32,6 +33,9 @@
 RELAY_ALLOWANCE_SECONDS = 0.5
 """Time for a relay through another VM after the direct path has failed."""
 
+SLOWEST_LINK_BYTES_PER_SECOND = 250_000
+"""Bandwidth of the slowest links of VMs, 2 Mbit/s, for the time that sending a request may take."""
+
 MAX_RESPONSE_BYTES = 8 << 20
 """Maximum size of a response; a page of the store has at most 1 MB of values, before base64."""
 
@@ -46,7 +50,8 @@
 
     :param transport: carries requests to the store.
     :param max_row_bytes: maximum size of a row's value encoded as JSON, in bytes.
-    :param timeout: time to wait for one response, in seconds.
+    :param timeout: time to wait for the first part of a response and for each further one, in
+        seconds.
     """
 
     def __init__(
@@ -133,11 +138,20 @@
     async def call(self, request: HttpRequest, timeout: float) -> HttpResponse:
         """Send one request and return the response.
 
+        :param timeout: time to wait for the first part of the response and for each further one, in
+            seconds, apart from the time to send the request.
         :raises PlatformUnavailable: if the transport fails or does not answer in time.
         """
+        timeout += len(request.body) / SLOWEST_LINK_BYTES_PER_SECOND
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout + RELAY_ALLOWANCE_SECONDS):
-                return await self.transport.exchange(request, timeout)
+            async with asyncio.timeout(timeout + RELAY_ALLOWANCE_SECONDS) as limit:
+
+                def extend_limit() -> None:
+                    if not limit.expired():
+                        limit.reschedule(loop.time() + timeout + RELAY_ALLOWANCE_SECONDS)
+
+                return await self.transport.exchange(request, timeout, extend_limit)
         except TransportError as error:
             raise PlatformUnavailable(f"store: {error}", effect_unknown=error.sent) from error
         except TimeoutError as error:
--- a/src/jaypier/relay/tests/test_transport.py
+++ b/src/jaypier/relay/tests/test_transport.py
@@ -29,7 +29,9 @@
         self.outcome = outcome
         self.requests: list[HttpRequest] = []
 
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, timeout: float, on_progress=None
+    ) -> HttpResponse:
         self.requests.append(request)
         if isinstance(self.outcome, Exception):
             raise self.outcome
--- a/src/jaypier/relay/transport.py
+++ b/src/jaypier/relay/transport.py
@@ -10,7 +10,7 @@
 from jaypier.platform.abstract import StoreTransport
 from jaypier.platform.store import PROBE_REQUEST
 from jaypier.relay.peers import PeerList
-from jaypier.wire.client import ConnectionPool
+from jaypier.wire.client import ConnectionPool, ProgressCallback
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
@@ -72,23 +72,25 @@
         self.is_isolated = False
         self.relay_backoff_until = float("-inf")
 
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse:
         """Send one request to the store, directly or through a peer, and return the response."""
         if self.is_direct_path_down:
-            response = await self.call_via_peers(request, timeout)
+            response = await self.call_via_peers(request, timeout, on_progress)
             if response is not None:
                 return response
         try:
-            response = await self.call_directly(request, timeout)
+            response = await self.call_directly(request, timeout, on_progress)
         except TransportError as error:
             if error.sent and request.method != "GET":
                 raise
-            relayed = await self.call_via_peers(request, timeout)
+            relayed = await self.call_via_peers(request, timeout, on_progress)
             if relayed is None:
                 raise
             return relayed
         if response.status in REFUSAL_STATUSES:
-            relayed = await self.call_via_peers(request, timeout)
+            relayed = await self.call_via_peers(request, timeout, on_progress)
             if relayed is None:
                 return response
             # Only this VM is refused.
@@ -97,10 +99,12 @@
         self.mark_direct_path_up()
         return response
 
-    async def call_directly(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def call_directly(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse:
         """Send a request over the direct path, and mark the path as down if that fails."""
         try:
-            response = await self.direct.exchange(request, timeout)
+            response = await self.direct.exchange(request, timeout, on_progress)
         except TransportError as error:
             self.mark_direct_path_down(str(error))
             raise
@@ -108,7 +112,9 @@
             self.mark_direct_path_down("status 503")
         return response
 
-    async def call_via_peers(self, request: HttpRequest, timeout: float) -> HttpResponse | None:
+    async def call_via_peers(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse | None:
         """Send a request through a peer; return ``None`` if no peer could relay it.
 
         If ``None`` is returned, a write has not been executed.
@@ -121,7 +127,7 @@
         candidates = self.peers.available()[:MAX_PEERS_PER_CALL]
         for peer in candidates:
             try:
-                response = await peer.pool.exchange(request, timeout)
+                response = await peer.pool.exchange(request, timeout, on_progress)
             except TransportError as error:
                 self.peers.back_off(peer)
                 if error.sent and request.method != "GET":
@@ -171,14 +177,17 @@
         """Relay a peer's request to the store, over the direct path only.
 
         Return status 503 with ``STORE_UNREACHABLE_HEADER`` if the store does not answer or refuses
-        the request, and 504 if a write failed but may have been executed.
+        the request, and 504 if a write failed but may have been executed. The peer is told of the
+        progress of a response that takes long to arrive.
         """
         store_unreachable = HttpResponse(503, [(STORE_UNREACHABLE_HEADER, b"1")])
         if self.is_direct_path_down:
             return store_unreachable
         forwarded = HttpRequest(request.method, request.target, body=request.body)
         try:
-            response = await self.call_directly(forwarded, RELAY_TIMEOUT_SECONDS)
+            response = await self.call_directly(
+                forwarded, RELAY_TIMEOUT_SECONDS, request.announce_progress
+            )
         except TransportError as error:
             return (
                 HttpResponse(504) if error.sent and request.method != "GET" else store_unreachable
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import h11
 
@@ -12,9 +13,16 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Time to wait for a TCP connection to be established."""
 
+TRANSFER_TIMEOUT_SECONDS = 10.0
+"""Time that a response which keeps arriving may take in addition to the timeout of its exchange:
+6 MB over a link of 5 Mbit/s."""
+
 MAX_IDLE_SECONDS = 5.0
 """Idle time after which a pooled connection is closed instead of reused."""
 
+ProgressCallback = Callable[[], None]
+"""Called whenever a part of a response has arrived."""
+
 
 class ClientConnection(asyncio.Protocol):
     """One connection to a server; it carries one exchange at a time.
@@ -36,6 +44,9 @@
         self.body: list[bytes] = []
         self.body_size = 0
         self.received_bytes = 0
+        self.last_received_at = 0.0
+        self.on_progress: ProgressCallback | None = None
+        self.timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -57,6 +68,9 @@
             self.transport.abort()
             return
         self.received_bytes += len(data)
+        self.last_received_at = asyncio.get_running_loop().time()
+        if self.on_progress is not None:
+            self.on_progress()
         try:
             self.http.receive_data(data)
             self.process_events()
@@ -98,10 +112,14 @@
             return False
         return self.http.our_state is h11.IDLE and self.http.their_state is h11.IDLE
 
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse:
         """Send a request and wait for its complete response.
 
-        :param timeout: time to wait for the response, in seconds.
+        :param timeout: time to wait for the first part of the response and for each further one, in
+            seconds. The whole response may take ``TRANSFER_TIMEOUT_SECONDS`` longer.
+        :param on_progress: called whenever a part of the response has arrived.
         :raises ExchangeTimeout: if the response does not arrive in time; the connection is closed.
         :raises BrokenExchange: if the request cannot be encoded, the connection ends early, or
             the response is malformed or too large.
@@ -110,12 +128,15 @@
         self.waiter = loop.create_future()
         self.response, self.body, self.body_size = None, [], 0
         self.received_bytes = 0
+        self.on_progress = on_progress
         headers = [
             (b"host", request.header(b"host", str(self.address)).encode()),
             *(header for header in request.headers if header[0] != b"host"),
             (b"content-length", str(len(request.body)).encode()),
         ]
-        timer = loop.call_later(timeout, self.on_timeout)
+        self.last_received_at = loop.time()
+        due = self.last_received_at + timeout
+        self.timer = loop.call_at(due, self.check_progress, timeout, due + TRANSFER_TIMEOUT_SECONDS)
         try:
             self.send(request, headers)
             response = await self.waiter
@@ -123,8 +144,8 @@
             self.transport.abort()
             raise
         finally:
-            timer.cancel()
-            self.waiter = None
+            self.timer.cancel()
+            self.waiter = self.on_progress = None
         self.finish_exchange()
         return response
 
@@ -140,9 +161,17 @@
             raise BrokenExchange(f"request cannot be encoded: {error}", sent=False) from error
         self.transport.write(data)
 
-    def on_timeout(self) -> None:
-        """Fail the exchange whose response has not arrived in time."""
-        if self.waiter is not None and not self.waiter.done():
+    def check_progress(self, timeout: float, latest_end: float) -> None:
+        """Fail the exchange if nothing has arrived for too long; otherwise check again later.
+
+        :param timeout: time to wait for the next part of the response, in seconds.
+        :param latest_end: loop time in seconds by which the whole response has to arrive.
+        """
+        loop = asyncio.get_running_loop()
+        due = min(self.last_received_at + timeout, latest_end)
+        if loop.time() < due:
+            self.timer = loop.call_at(due, self.check_progress, timeout, latest_end)
+        elif self.waiter is not None and not self.waiter.done():
             message = f"{self.address} did not answer in time"
             if self.received_bytes:
                 message = (
@@ -224,11 +253,15 @@
             connection.close()
         return None
 
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, timeout: float, on_progress: ProgressCallback | None = None
+    ) -> HttpResponse:
         """Send a request on an idle connection, or on a new one.
 
-        :param timeout: time to wait for the response, in seconds. Opening a new connection may
-            take as long again, but at most ``connect_timeout_seconds``.
+        :param timeout: time to wait for the first part of the response and for each further one, in
+            seconds. Opening a new connection may take as long again, but at most
+            ``connect_timeout_seconds``, and the whole response ``TRANSFER_TIMEOUT_SECONDS`` longer.
+        :param on_progress: called whenever a part of the response has arrived.
         :raises ConnectError: if no connection could be established; nothing was sent.
         :raises ExchangeTimeout: if the response does not arrive in time.
         :raises BrokenExchange: if the request cannot be encoded, the connection ends early, or
@@ -238,7 +271,7 @@
         if connection is None:
             connect_timeout = min(timeout, self.connect_timeout_seconds)
             connection = await open_connection(self.address, connect_timeout, self.max_body_bytes)
-        response = await connection.exchange(request, timeout)
+        response = await connection.exchange(request, timeout, on_progress)
         if connection.is_reusable:
             self.idle.append(connection)
         return response
--- a/src/jaypier/wire/messages.py
+++ b/src/jaypier/wire/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as complete messages of bounded size."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -17,12 +18,17 @@
     :param target: path and query as sent.
     :param headers: pairs of lower-case names and values.
     :param body: at most ``MAX_BODY_BYTES`` bytes, unless its receiver sets another limit.
+    :param announce_progress: tells the client of a received request that its response is being
+        prepared, so that its time-out starts anew.
     """
 
     method: str
     target: str
     headers: Headers = attrs.field(factory=list)
     body: bytes = b""
+    announce_progress: Callable[[], None] = attrs.field(
+        default=lambda: None, eq=False, repr=False, kw_only=True
+    )
 
     @property
     def path(self) -> str:
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -17,6 +17,9 @@
 RESPONSE_WRITE_TIMEOUT_SECONDS = 10.0
 """Time that a client may take to read a response."""
 
+PROGRESS_INTERVAL_SECONDS = 0.2
+"""Minimum time between two interim responses that announce progress."""
+
 MAX_CONNECTIONS = 4096
 """Maximum number of open connections of one server."""
 
@@ -57,6 +60,7 @@
         self.is_reading = False
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.progress_announced_at = float("-inf")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or abort it if the server has its maximum of connections."""
@@ -142,7 +146,9 @@
         """Add one parser event to the request being read."""
         if isinstance(event, h11.Request):
             method, target = event.method.decode("ascii"), event.target.decode("latin-1")
-            self.request = HttpRequest(method, target, list(event.headers))
+            self.request = HttpRequest(
+                method, target, list(event.headers), announce_progress=self.announce_progress
+            )
             self.set_timer(BODY_READ_TIMEOUT_SECONDS)
             if self.http.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -167,6 +173,14 @@
             response = HttpResponse(500, body=b"internal error\n")
         self.send_response(request, response)
 
+    def announce_progress(self) -> None:
+        """Send the interim response 102 to a client that waits for the handler."""
+        now = asyncio.get_running_loop().time()
+        is_waiting = self.task is not None and not self.transport.is_closing()
+        if is_waiting and now >= self.progress_announced_at + PROGRESS_INTERVAL_SECONDS:
+            self.progress_announced_at = now
+            self.write(h11.InformationalResponse(status_code=102, headers=[]))
+
     def send_response(self, request: HttpRequest, response: HttpResponse) -> None:
         """Send a response and prepare for the next request."""
         self.task = None
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -67,6 +67,19 @@
 
         asyncio.run(scenario())
 
+    def test_whole_response_has_a_time_limit(self, monkeypatch):
+        monkeypatch.setattr("jaypier.wire.client.TRANSFER_TIMEOUT_SECONDS", 0.5)
+
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            async with SlowServer(10_000, [b"x" * 10] * 1000, 0.05) as pool, pool:
+                began = loop.time()
+                with pytest.raises(ExchangeTimeout):
+                    await pool.exchange(REQUEST, 0.3)
+                assert 0.7 < loop.time() - began < 2.0
+
+        asyncio.run(scenario())
+
     def test_error_tells_how_much_of_the_response_arrived(self):
         async def scenario() -> None:
             async with SlowServer(100, [b"x" * 60], 0.0) as pool, pool:
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -56,6 +56,21 @@
     asyncio.run(run())
 
 
+class TestProgress:
+    def test_announced_progress_extends_the_time_to_wait(self):
+        async def scenario(harness: Harness) -> None:
+            async def handle(request: HttpRequest) -> HttpResponse:
+                for _ in range(20):
+                    await asyncio.sleep(0.05)
+                    request.announce_progress()
+                return HttpResponse(200, [], b"late")
+
+            harness.server.handler = handle
+            assert (await harness.pool.exchange(REQUEST, 0.6)).body == b"late"
+
+        run_scenario(scenario)
+
+
 class TestExchanges:
     def test_connection_is_reused(self):
         async def scenario(harness):
