Judge a transfer by its rate; end trickles as soon as silence

Change: instead of 10 s for any transfer, a response may take the time that its received bytes take at 64 kB/s; small ones get nothing more. The next part may take 1 s at least, two retransmissions. An interim response starts the time anew, as the relaying peer holds its own exchange to the same rate. The limit of a call follows.

--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -20,6 +20,7 @@
     PlatformUnavailable,
 )
 from jaypier.platform.model import Changes, Row, Transaction
+from jaypier.wire.client import PART_TIMEOUT_SECONDS
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
@@ -145,7 +146,8 @@
 
                 def extend_limit() -> None:
                     if not limit.expired():
-                        limit.reschedule(loop.time() + timeout + RELAY_ALLOWANCE_SECONDS)
+                        part_due = loop.time() + max(timeout, PART_TIMEOUT_SECONDS)
+                        limit.reschedule(max(limit.when(), part_due))
 
                 return await self.transport.exchange(request, timeout, extend_limit)
         except TransportError as error:
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -13,9 +13,13 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Time to wait for a TCP connection to be established."""
 
-TRANSFER_TIMEOUT_SECONDS = 10.0
-"""Time that a response which keeps arriving may take in addition to the timeout of its exchange:
-6 MB over a link of 5 Mbit/s."""
+PART_TIMEOUT_SECONDS = 1.0
+"""Shortest time to wait for the next part of a response that has begun to arrive: two successive
+retransmissions of a packet."""
+
+MIN_BYTES_PER_SECOND = 64_000
+"""Slowest transfer of a response that is waited for: a tenth of the slowest links, 5 Mbit/s, which
+several transfers may share."""
 
 MAX_IDLE_SECONDS = 5.0
 """Idle time after which a pooled connection is closed instead of reused."""
@@ -44,6 +48,8 @@
         self.body: list[bytes] = []
         self.body_size = 0
         self.received_bytes = 0
+        self.timeout = 0.0
+        self.began_at = 0.0
         self.last_received_at = 0.0
         self.on_progress: ProgressCallback | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -69,6 +75,7 @@
             return
         self.received_bytes += len(data)
         self.last_received_at = asyncio.get_running_loop().time()
+        self.timeout = max(self.timeout, PART_TIMEOUT_SECONDS)
         if self.on_progress is not None:
             self.on_progress()
         try:
@@ -82,7 +89,10 @@
         """Read parser events until the response is complete or more bytes are needed."""
         while True:
             event = self.http.next_event()
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                # The server is still preparing the response: the time to wait starts anew.
+                self.began_at, self.received_bytes = self.last_received_at, 0
+            elif isinstance(event, h11.Response):
                 self.response = HttpResponse(event.status_code, list(event.headers))
             elif isinstance(event, h11.Data):
                 self.body_size += len(event.data)
@@ -97,7 +107,7 @@
                 self.response.body = b"".join(self.body)
                 self.waiter.set_result(self.response)
                 return
-            elif not isinstance(event, h11.InformationalResponse):
+            else:
                 return
 
     def fail_exchange(self, message: str) -> None:
@@ -117,8 +127,9 @@
     ) -> HttpResponse:
         """Send a request and wait for its complete response.
 
-        :param timeout: time to wait for the first part of the response and for each further one, in
-            seconds. The whole response may take ``TRANSFER_TIMEOUT_SECONDS`` longer.
+        :param timeout: time to wait for the first part of the response, in seconds. Each further
+            part may take as long again, ``PART_TIMEOUT_SECONDS`` at least, and the whole longer by
+            the time that its size takes at ``MIN_BYTES_PER_SECOND``.
         :param on_progress: called whenever a part of the response has arrived.
         :raises ExchangeTimeout: if the response does not arrive in time; the connection is closed.
         :raises BrokenExchange: if the request cannot be encoded, the connection ends early, or
@@ -134,9 +145,9 @@
             *(header for header in request.headers if header[0] != b"host"),
             (b"content-length", str(len(request.body)).encode()),
         ]
-        self.last_received_at = loop.time()
-        due = self.last_received_at + timeout
-        self.timer = loop.call_at(due, self.check_progress, timeout, due + TRANSFER_TIMEOUT_SECONDS)
+        self.timeout = timeout
+        self.began_at = self.last_received_at = loop.time()
+        self.timer = loop.call_later(timeout, self.check_progress)
         try:
             self.send(request, headers)
             response = await self.waiter
@@ -161,16 +172,14 @@
             raise BrokenExchange(f"request cannot be encoded: {error}", sent=False) from error
         self.transport.write(data)
 
-    def check_progress(self, timeout: float, latest_end: float) -> None:
-        """Fail the exchange if nothing has arrived for too long; otherwise check again later.
-
-        :param timeout: time to wait for the next part of the response, in seconds.
-        :param latest_end: loop time in seconds by which the whole response has to arrive.
-        """
+    def check_progress(self) -> None:
+        """Fail the exchange if too little has arrived; otherwise check again later."""
         loop = asyncio.get_running_loop()
-        due = min(self.last_received_at + timeout, latest_end)
+        due = self.timeout + min(
+            self.last_received_at, self.began_at + self.received_bytes / MIN_BYTES_PER_SECOND
+        )
         if loop.time() < due:
-            self.timer = loop.call_at(due, self.check_progress, timeout, latest_end)
+            self.timer = loop.call_at(due, self.check_progress)
         elif self.waiter is not None and not self.waiter.done():
             message = f"{self.address} did not answer in time"
             if self.received_bytes:
@@ -260,7 +269,7 @@
 
         :param timeout: time to wait for the first part of the response and for each further one, in
             seconds. Opening a new connection may take as long again, but at most
-            ``connect_timeout_seconds``, and the whole response ``TRANSFER_TIMEOUT_SECONDS`` longer.
+            ``connect_timeout_seconds``; see :meth:`ClientConnection.exchange` for large responses.
         :param on_progress: called whenever a part of the response has arrived.
         :raises ConnectError: if no connection could be established; nothing was sent.
         :raises ExchangeTimeout: if the response does not arrive in time.
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -175,9 +175,11 @@
 
     def announce_progress(self) -> None:
         """Send the interim response 102 to a client that waits for the handler."""
+        if self.task is None or self.transport.is_closing():
+            return
         now = asyncio.get_running_loop().time()
-        is_waiting = self.task is not None and not self.transport.is_closing()
-        if is_waiting and now >= self.progress_announced_at + PROGRESS_INTERVAL_SECONDS:
+        is_due = now >= self.progress_announced_at + PROGRESS_INTERVAL_SECONDS
+        if is_due and self.http.their_http_version == b"1.1":
             self.progress_announced_at = now
             self.write(h11.InformationalResponse(status_code=102, headers=[]))
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -34,6 +34,7 @@
     :ivar mode: fault to simulate, which also applies to open connections.
     :ivar delay_seconds: delay of each chunk of data.
     :ivar bytes_per_second: bandwidth that all connections share in each direction.
+    :ivar response_bytes: number of bytes received from the target.
     """
 
     def __init__(self, listen: Address, target: Address) -> None:
@@ -43,6 +44,7 @@
         self.delay_seconds = 0.0
         self.bytes_per_second = math.inf
         self.free_at = {True: 0.0, False: 0.0}
+        self.response_bytes = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
         self.server: asyncio.Server | None = None
@@ -124,6 +126,7 @@
             if self.delay_seconds:
                 await asyncio.sleep(self.delay_seconds)
             await self.wait_for_bandwidth(len(data), is_response)
+            self.response_bytes += len(data) if is_response else 0
             if self.mode is ProxyMode.REFUSE:
                 break
             if self.mode is ProxyMode.DROP:
