--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -346,3 +346,13 @@
             await harness.wait_until(lambda: harness.leader_name == "vm-c", 0.3)
 
         run_scenario(scenario)
+
+    def test_leader_that_reads_large_tables_over_a_slow_link_is_not_replaced(self):
+        async def scenario(harness):
+            harness.store.snapshot_seconds = 1.2
+            job = make_job(make_step(seconds=2.0))
+            await harness.start_job(job, 1, 10)
+            await harness.wait_status(job, JobStatus.COMPLETED, 10)
+            assert harness.leaders[harness.leader_name].epoch == 1
+
+        run_scenario(scenario)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -98,6 +98,7 @@
     :ivar max_commit_delay_seconds: maximum delay of a transaction whose response is lost; 0 applies
         it at once.
     :ivar latency_factor: factor by which calls take longer than usual.
+    :ivar snapshot_seconds: time that a table takes over the links of the VMs.
     :ivar unreachable_vms: names of VMs that cannot reach the store.
     :ivar last_disrupted_at: time of the last call during a disruption, in seconds.
     """
@@ -114,6 +115,7 @@
         self.lost_response_probability = 0.0
         self.max_commit_delay_seconds = 0.0
         self.latency_factor = 1.0
+        self.snapshot_seconds = 0.0
         self.call_count = 0
         self.unreachable_vms: set[str] = set()
         self.last_disrupted_at = float("-inf")
@@ -153,7 +155,9 @@
 
     async def snapshot(self, table: str) -> Changes:
         """Return all rows of a table, and the version from which to watch it."""
-        return Changes(await self.scan(table + "/"), self.version)
+        changes = Changes(await self.scan(table + "/"), self.version)
+        await asyncio.sleep(self.snapshot_seconds)
+        return changes
 
     async def watch(self, table: str, after: int, wait: float) -> Changes:
         """Return the rows of a table that changed after a version, waiting for a change."""
