Wait for a worker's report again when it runs tasks of a job just read

What callers would see: a job runs twice at the same time (TWICE).

Trace: the earlier leader started the tasks after the next one had read the store and before the worker knew the new epoch. The worker reported them, the job was unknown, and reading its row marked the worker as to report again; but a leader that had reconciled took every such worker for a new one, in the same pass, and started the tasks elsewhere.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -445,7 +446,8 @@
                 RECONCILE_MINORITY_TIMEOUT_SECONDS if is_minority else RECONCILE_TIMEOUT_SECONDS
             )
             for worker in unreconciled:
-                since, allowed = self.elected_at, timeout
+                # A worker that has reported has runs of an unknown job and has to report again.
+                since, allowed = max(self.elected_at, worker.last_report_at), timeout
                 if not worker.is_registered:
                     # The entry may have expired just now, with runs of an earlier leader active.
                     since, allowed = (
@@ -453,7 +455,9 @@
                         RECONCILE_DEREGISTERED_TIMEOUT_SECONDS,
                     )
                 is_new = (
-                    now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS and self.has_reconciled
+                    worker.last_report_at == -math.inf
+                    and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
+                    and self.has_reconciled
                 )
                 if is_new or now - since > allowed:
                     worker.is_reconciled = True
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from jaypier.jobs.model import JobStatus
+from jaypier.jobs.model import JobStatus, StartRequest, StartResponse, TaskId
 from jaypier.jobs.rows import JobTable
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
 from jaypier.platform import Put, Transaction
@@ -199,6 +199,32 @@
         run_scenario(scenario)
 
 
+class TestOrphanedRuns:
+    @pytest.mark.parametrize("worker_id", ["worker-00", "worker-03"])
+    def test_run_that_was_reported_before_its_job_was_read_is_not_started_again(self, worker_id):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            leader = harness.leaders[harness.leader_name]
+            harness.store.is_silent = True
+            job = make_job(make_step(seconds=3.0))
+            harness.cluster.submit(job)
+            worker = harness.cluster.workers[worker_id]
+            deadline = worker.clock + 6000
+            request = StartRequest(TaskId(job.id, 0, 0, 0), 1, job.payload, "", deadline)
+            assert worker.start(leader.epoch, request) is StartResponse.STARTED
+            await leader.sessions[worker_id].renew_lease()
+            assert job.id in leader.cluster_state.orphans
+            leader.apply_notified_row(harness.store.rows[f"jobs/{job.id}"])
+            await asyncio.sleep(2.0)
+            assert len(harness.cluster.runs) == 1
+            harness.store.is_silent = False
+            await harness.wait_status(job, JobStatus.COMPLETED, 10)
+            assert len(harness.cluster.runs) == 1
+
+        run_scenario(scenario)
+
+
 class TestUnexpectedErrors:
     """An error that concerns one row, worker or request does not end the leadership."""
 
