Stand-ins: workers whose capacity changes, and a check of it at each start

Cause: the platform's specification now says that a worker's capacity may shrink and grow while it runs, and that no start may bring a worker that does not guard its capacity over it. The stand-in workers had a fixed capacity and refused whatever does not fit, so no test could show such a start. Change: MemoryWorker.change_capacity announces the new capacity with the next heartbeat; guards_capacity=False lets a worker start whatever it is told to; each start is checked against the capacities of the last 4.5 s. Runs that are being stopped count. Filling tasks no longer count with their processors, as specified.

--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -221,14 +221,21 @@
 
 
 def run_scenario(
-    scenario: Callable[[LeaderHarness], Awaitable[None]], workers: int = 4, **values
+    scenario: Callable[[LeaderHarness], Awaitable[None]],
+    workers: int = 4,
+    guards_capacity: bool = True,
+    **values,
 ) -> None:
-    """Run a scenario on a cluster in virtual time; the cluster must not record a violation."""
+    """Run a scenario on a cluster in virtual time; the cluster must not record a violation.
+
+    :param guards_capacity: whether the workers refuse starts that do not fit.
+    """
 
     async def run() -> None:
         cluster = MemoryCluster(MemoryStore(random.Random(1)), random.Random(2), **values)
         for number in range(workers):
-            cluster.add_worker(f"worker-{number:02}", rack=f"rack-{number // 6}")
+            worker = cluster.add_worker(f"worker-{number:02}", rack=f"rack-{number // 6}")
+            worker.guards_capacity = guards_capacity
         harness = LeaderHarness(cluster)
         harness.start_daemon("vm-a")
         harness.start_daemon("vm-b")
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -81,6 +81,17 @@
 """Time after which no task may be requested to start on a draining worker or in a data centre that
 operators have taken out of service. It counts from the last store disruption if that is later."""
 
+HEARTBEAT_SECONDS = 1.5
+"""Time between two updates of a worker's entry: a change of capacity is announced after this time
+at the latest."""
+
+CAPACITY_PROPAGATION_SECONDS = 3.0 + HEARTBEAT_SECONDS
+"""Time after which a reduced capacity limits what may start on a worker. The platform's
+specification has the same limit, also while the store is down."""
+
+MAX_REQUEST_DELAY_SECONDS = 12.0
+"""Longest time after which a request that has timed out is executed."""
+
 WORKER_REQUEST_ROUND_TRIP_SECONDS = 0.002
 """Round-trip time of a request to a worker."""
 
@@ -316,6 +327,14 @@
         return await self.store.commit(transaction)
 
 
+def is_within(amount: Resources, capacity: Resources) -> bool:
+    """Whether no resource of an amount exceeds a capacity."""
+    return all(
+        used <= available
+        for used, available in zip(attrs.astuple(amount), attrs.astuple(capacity), strict=True)
+    )
+
+
 @attrs.define(eq=False)
 class WorkerRun:
     """An active run on a simulated worker.
@@ -350,6 +369,11 @@
     :param fails_all_runs: whether every run fails after 0.1 s.
     :param hangs: whether runs make no progress and never end by themselves.
     :param late_request_probability: probability that a request times out and is executed later.
+    :param guards_capacity: whether starts that do not fit are refused. A worker that does not guard
+        its capacity starts whatever it is told to.
+    :param report_count: number of reports that were requested.
+    :param earlier_capacities: capacities before the current one, each with the virtual time in
+        seconds at which it changed.
     :param active: active runs by task and attempt.
     :param finished: ended runs that the leader has not acknowledged yet.
     :param end_count: number of runs that have ended; the last number in ``finished``.
@@ -369,6 +393,9 @@
     fails_all_runs: bool = False
     hangs: bool = False
     late_request_probability: float = 0.0
+    guards_capacity: bool = True
+    report_count: int = 0
+    earlier_capacities: list[tuple[float, Resources]] = attrs.field(factory=list)
     active: dict[tuple[TaskId, int], WorkerRun] = attrs.field(factory=dict)
     finished: list[EndedRun] = attrs.field(factory=list)
     end_count: int = 0
@@ -388,7 +415,25 @@
     @property
     def used(self) -> Resources:
         """Resources allocated to active runs."""
-        return sum((run.step.demand for run in self.active.values()), Resources())
+        return sum((run.step.reserved for run in self.active.values()), Resources())
+
+    def change_capacity(self, capacity: Resources) -> None:
+        """Change the capacity while the worker runs, and announce it with the next heartbeat."""
+        self.earlier_capacities.append((self.now, self.entry.capacity))
+        self.entry = attrs.evolve(self.entry, capacity=capacity)
+        asyncio.get_running_loop().call_later(HEARTBEAT_SECONDS, self.announce)
+
+    def announce(self) -> None:
+        """Write the entry, with the next heartbeat if the store is down."""
+        if self.cluster.store.is_down:
+            asyncio.get_running_loop().call_later(HEARTBEAT_SECONDS, self.announce)
+        elif self.is_up:
+            self.cluster.register(self)
+
+    def capacities_since(self, since: float) -> list[Resources]:
+        """Return the capacities that were in force at or after a virtual time in seconds."""
+        earlier = [capacity for until, capacity in self.earlier_capacities if until >= since]
+        return [*earlier, self.entry.capacity]
 
     def extend_lease(self, deadline: int) -> None:
         """Extend the lease that all active runs share.
@@ -429,7 +474,8 @@
         if start_request.attempt <= self.highest_attempts[start_request.task]:
             return StartResponse.OUTDATED
         step = self.cluster.step_of(start_request.task)
-        if step.demand.copies_within(self.entry.capacity - self.used) < 1:
+        needed = self.used + step.reserved
+        if self.guards_capacity and not is_within(needed, self.entry.capacity):
             return StartResponse.NO_ROOM
         run = WorkerRun(
             start_request.task, start_request.attempt, step, start_request.checkpoint, self.now
@@ -488,6 +534,7 @@
 
     def report(self) -> WorkerReport:
         """Return the active and the ended runs, at most 500 ended ones."""
+        self.report_count += 1
         active = tuple(
             ActiveRun(run.task, run.attempt, self.latest_checkpoint(run), 100 * self.progress(run))
             for run in self.active.values()
@@ -543,7 +590,7 @@
             await asyncio.sleep(0.4)
             raise WorkerUnreachable("no response in time")
         if self.worker.cluster.rng.random() < self.worker.late_request_probability:
-            delay = self.worker.cluster.rng.uniform(2.0, 12.0)
+            delay = self.worker.cluster.rng.uniform(2.0, MAX_REQUEST_DELAY_SECONDS)
             asyncio.get_running_loop().call_later(
                 delay, self.execute_late, self.worker.entry.born, operation, arguments
             )
@@ -780,6 +827,7 @@
         ):
             self.violations.append(f"{now:.2f} {run.task} starts before it is due")
         self.check_not_draining(worker, run, now)
+        self.check_capacity(worker, run, now)
         self.check_single_start(run, now)
         for number in run.step.after:
             self.check_dependency(run, number, now)
@@ -804,6 +852,22 @@
                 "service"
             )
 
+    def check_capacity(self, worker: MemoryWorker, run: WorkerRun, now: float) -> None:
+        """Check that a start does not bring a worker over its capacity.
+
+        Runs that are being stopped count. A capacity that was reduced recently may still be used;
+        for a request that is executed late, also one that was reduced since it was sent.
+        """
+        since = now - CAPACITY_PROPAGATION_SECONDS
+        if self.is_executing_late_request:
+            since -= MAX_REQUEST_DELAY_SECONDS
+        capacities = worker.capacities_since(since)
+        if not any(is_within(worker.used, capacity) for capacity in capacities):
+            self.violations.append(
+                f"{now:.2f} {run.task} brings {worker.entry.id} to {worker.used}, over its "
+                f"capacity {capacities[-1]}"
+            )
+
     def check_single_start(self, run: WorkerRun, now: float) -> None:
         """Check that a task of a non-repeatable job has not worked before.
 
