Failing tests: starts over the capacity of a worker, and a crashed leader

Tests of capacities that shrink and grow, planned and with leaders, and fuzz seeds 3000 to 3007 with such changes on workers that start whatever they are told to. No logic changes.

- new leaders start tasks beside reported runs that they do not need;
- starts go out after the capacity has shrunk, during retries and in a store outage;
- a filling task starts on a worker that is over its processors;
- too few runs are preempted on a worker that is over its capacity;
- headroom exceeds its share beside such workers;
- an urgent job without accelerators, of a team without a guarantee, ends every leadership with a KeyError.

--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from jaypier.jobs.model import Job
+from jaypier.jobs.model import Job, Resources
 from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step
 from standins.cluster import MemoryCluster, MemoryStore
 from standins.virtual_time import run_in_virtual_time
@@ -27,6 +27,10 @@
 SCHEDULE_SEEDS = range(2000, 2012)
 """Seeds that add to all of that repeating jobs, long-running tasks and wrong clocks."""
 
+CAPACITY_SEEDS = range(3000, 3008)
+"""Seeds that add to all of that capacities that shrink and grow, on workers that start whatever
+they are told to, and tasks without accelerators."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -55,6 +59,9 @@
         self.long_running_ids: list[str] = []
         self.has_operators = seed >= OPERATOR_SEEDS.start
         self.has_schedules = seed >= SCHEDULE_SEEDS.start
+        self.has_capacity_changes = seed >= CAPACITY_SEEDS.start
+        for worker in self.cluster.workers.values():
+            worker.guards_capacity = not self.has_capacity_changes
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -81,6 +88,8 @@
         ]
         if self.has_operators:
             faults += [self.evacuate_data_centre, self.drain_worker]
+        if self.has_capacity_changes:
+            faults += [self.change_capacity] * 4
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -112,10 +121,11 @@
     def submit(self) -> None:
         """Submit a random job, unless it needs more than 48 accelerators."""
         is_gang = self.rng.random() < 0.5
+        accelerators = (0, 1, 2, 4, 8) if self.has_capacity_changes else (1, 2, 4, 8)
         steps = [
             make_step(
                 count=self.rng.randint(1, 6),
-                accelerators=self.rng.choice((1, 2, 4, 8)),
+                accelerators=self.rng.choice(accelerators),
                 seconds=self.rng.uniform(0.5, 4.0),
                 saves=self.rng.random() < 0.5,
                 is_gang=is_gang,
@@ -245,6 +255,16 @@
         await self.pause()
         self.cluster.end_draining(worker)
 
+    async def change_capacity(self) -> None:
+        worker = self.pick_worker()
+        capacity = worker.entry.capacity
+        share = self.rng.choice((0.0, 0.01, 0.25, 0.5, 0.75))
+        worker.change_capacity(
+            Resources(*(int(share * amount) for amount in attrs.astuple(capacity)))
+        )
+        await self.pause()
+        worker.change_capacity(capacity)
+
     async def compact_store(self) -> None:
         self.cluster.store.compact()
 
@@ -257,7 +277,9 @@
 
 
 class TestFuzz:
-    @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSION_SEEDS, *OPERATOR_SEEDS, *SCHEDULE_SEEDS])
+    @pytest.mark.parametrize(
+        "seed", [*SEEDS, *REGRESSION_SEEDS, *OPERATOR_SEEDS, *SCHEDULE_SEEDS, *CAPACITY_SEEDS]
+    )
     def test_invariants_hold_under_random_faults(self, seed):
         run_seed(seed)
 
--- a/src/jaypier/jobs/tests/test_planning.py
+++ b/src/jaypier/jobs/tests/test_planning.py
@@ -244,3 +244,11 @@
         self.succeed_on(cluster_state, 1, -9.0)
         (retried,) = planner.plan(1.1, 1.1).starts
         assert retried.worker is not run.worker
+
+
+class TestTeamsWithoutGuarantee:
+    def test_urgent_task_without_accelerators_does_not_end_the_pass(self):
+        planner = make_planner(
+            make_cluster_state(1), make_job(make_step(accelerators=0), priority=0)
+        )
+        assert len(planner.plan(0.0, 0.0).starts) == 1
