Fix a KeyError for urgent jobs of teams that have no guarantee

Cause: an urgent job whose tasks need no accelerators is within any guarantee, also that of a team for which none is known: a team without an entry, or any team before a new leader has been told of the configuration. Ranking it raised KeyError, which ended the leadership; so it did with each next leader, and nothing was scheduled while the job waited. Change: such a team's guarantee is 0.

--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -223,7 +223,8 @@
         def sort_key(state: JobState) -> tuple:
             job = state.spec
             if job.id in covered:
-                return (0, self.guarantees[job.team], job.submitted_at, job.id)
+                guaranteed = self.guarantees.get(job.team, 0)
+                return (0, guaranteed, job.submitted_at, job.id)
             return (1, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
