Count reported runs that the leader does not need until they have ended

Cause: a new leader asks a worker to stop runs that it does not need, such as those of a job that was cancelled during the takeover, but did not count them: the worker was free at once in its view, and the next pass started other tasks beside them. Workers that do not guard their capacity went to 16 of 8 accelerators; others refused the starts. Change: nothing starts on a worker while its newest report lists runs that the leader does not know, and such a worker is polled until they have ended. Ruled out: counting their demand, which is unknown for jobs whose rows are gone.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -383,6 +383,7 @@
             and not self.apply_active_run(worker, each, sent_at, now)
         ]
         active = {(each.task, each.attempt) for each in report.active}
+        worker.has_unknown_runs = not active <= worker.runs.keys()
         for run in list(worker.runs.values()):
             is_conclusive = (
                 sent_at > run.reports_conclusive_after or report.clock > run.start_deadline
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -260,6 +260,8 @@
     def usable_workers(self, now: float) -> list[Worker]:
         """Return the workers that accept new tasks.
 
+        On a worker with unknown runs it is not known what is free.
+
         Workers to be avoided are only returned if there are no others.
 
         :param now: time on the local clock, in seconds.
@@ -271,6 +273,7 @@
             and worker.is_registered
             and worker.entry.is_ready
             and not worker.is_unreachable
+            and not worker.has_unknown_runs
             and worker.entry.data_centre not in self.cluster_state.evacuated
         ]
         preferred = [worker for worker in usable if not worker.is_avoided(now)]
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -132,7 +132,8 @@
             and leader.has_authority
         ):
             deadline = leader.cluster_state.extend_lease(worker, sent_at)
-        wait = LONG_POLL_SECONDS if deadline is not None else 0.0
+        is_waiting_for_end = deadline is not None or worker.has_unknown_runs
+        wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
         if worker.last_processed_end > worker.last_durable_end:
             wait = 0.0
         was_unreachable = worker.is_unreachable
@@ -143,6 +144,7 @@
         now = leader.clock.now()
         born = worker.born
         was_reconciled, releases = worker.is_reconciled, leader.cluster_state.release_count
+        had_unknown_runs = worker.has_unknown_runs
         ends, unknown = leader.cluster_state.apply_report(worker, report, sent_at, now)
         has_restarted = worker.born != born
         self.last_acknowledged = 0 if has_restarted else max(self.last_acknowledged, acknowledged)
@@ -160,7 +162,12 @@
             leader.stop_unknown_run(run)
         if ends:
             leader.progress_writer.write_requested.set()
-        if releases != leader.cluster_state.release_count or was_unreachable or not was_reconciled:
+        has_more_room = (
+            releases != leader.cluster_state.release_count
+            or had_unknown_runs
+            and not worker.has_unknown_runs
+        )
+        if has_more_room or was_unreachable or not was_reconciled:
             leader.scheduling_requested.set()
 
     async def wait_for_next_renewal(self) -> None:
@@ -185,7 +192,8 @@
         """Whether the worker has no run, and has been told of all ends that are durable."""
         worker = self.worker
         is_acknowledged = self.last_acknowledged >= worker.last_durable_end
-        return worker.is_reconciled and not worker.runs and is_acknowledged
+        is_running = worker.runs or worker.has_unknown_runs
+        return worker.is_reconciled and not is_running and is_acknowledged
 
     async def wait_for_wake(self, seconds: float) -> None:
         """Wait for a wake-up, for at most ``seconds``."""
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -318,6 +318,8 @@
     :param drain_deadline: time on the local clock, in seconds, from which a draining worker may be
         gone, ``inf`` for one that is not draining.
     :param is_unreachable: whether the newest request to the worker failed.
+    :param has_unknown_runs: whether the newest report listed active runs that are not in ``runs``.
+        They hold capacity until they have ended.
     :param runs: current runs by task and attempt number.
     :param free: resources that no run holds.
     """
@@ -341,6 +343,7 @@
     suspected_until: float = -math.inf
     drain_deadline: float = math.inf
     is_unreachable: bool = False
+    has_unknown_runs: bool = False
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     free: Resources = attrs.field(
         default=attrs.Factory(lambda self: self.entry.capacity, takes_self=True)
