Start no task on a worker that is over its capacity in any resource

Cause: only the resources that a task needs were compared with what is free. A filling task, which reserves no processors, was started on a worker whose processors were overcommitted after its capacity had shrunk. Change: nothing fits where any free amount is negative, also when an urgent step looks for runs to stop.

--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -47,7 +47,12 @@
         )
 
     def copies_within(self, available: "Resources") -> int:
-        """Return how many times this amount fits into ``available``, 1,000,000 if it is zero."""
+        """Return how many times this amount fits into ``available``, 1,000,000 if it is zero.
+
+        Nothing fits if any resource is overcommitted, as on a worker whose capacity has shrunk.
+        """
+        if min(available.processor_millis, available.memory_mb, available.accelerators) < 0:
+            return 0
         copies = 1_000_000
         if self.accelerators > 0:
             copies = available.accelerators // self.accelerators
@@ -55,7 +60,7 @@
             copies = min(copies, available.processor_millis // self.processor_millis)
         if self.memory_mb > 0:
             copies = min(copies, available.memory_mb // self.memory_mb)
-        return max(0, copies)
+        return copies
 
 
 @attrs.frozen
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -321,7 +321,8 @@
     :param has_unknown_runs: whether the newest report listed active runs that are not in ``runs``.
         They hold capacity until they have ended.
     :param runs: current runs by task and attempt number.
-    :param free: resources that no run holds.
+    :param free: resources that no run holds, negative where the runs exceed a capacity that has
+        shrunk.
     """
 
     entry: WorkerEntry
