Preempt all runs that a chosen slot depends on

Cause: cheapest_preemption lists the task slots that a worker offers as its runs are stopped one after another, and took the cheapest of all of them. A later slot of a worker counts on the runs stopped for the earlier ones, but can be cheaper. On a worker over its capacity, where the first slot needs several runs, too few were stopped: the urgent step did not fit, and every 2 s the next few runs were stopped for it. It also happened without a change of capacity. Change: a slot is never taken before the earlier ones of its worker. Measured: the two tests of test_capacity_changes.py pass; the new one of test_preemption.py fails without the change (3 of 4 accelerators freed) and passes with it; the other tests of jobs without the fuzzer pass.

--- a/src/jaypier/jobs/preemption.py
+++ b/src/jaypier/jobs/preemption.py
@@ -110,17 +110,18 @@
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param now: time on the local clock, in seconds.
     """
-    slots: list[tuple[float, Worker, list[Run]]] = []
+    slots: list[tuple[float, float, Worker, list[Run]]] = []
     chosen_by_step: Counter[StepState] = Counter()
     for worker in workers:
         free = free_of(worker)
         copies = max_tasks_on(step.spec, worker, free)
-        slots += [(0.0, worker, []) for _ in range(copies)]
+        slots += [(0.0, 0.0, worker, []) for _ in range(copies)]
         victims = sorted(
             (run for run in worker.runs.values() if can_preempt(run, step)),
             key=lambda run: (stop_cost(run, restore_seconds, now), str(run.task)),
         )
         taken: list[Run] = []
+        order = 0.0
         for run in victims:
             if not run.step.allows_disruption(run, chosen_by_step[run.step]):
                 continue
@@ -130,8 +131,11 @@
             more = max_tasks_on(step.spec, worker, free)
             if more > copies:
                 cost = sum(stop_cost(each, restore_seconds, now) for each in taken)
+                cost /= more - copies
+                # A later slot needs the victims of the earlier ones as well.
+                order = max(order, cost)
                 slots += [
-                    (cost / (more - copies), worker, taken if number == 0 else [])
+                    (order, cost, worker, taken if number == 0 else [])
                     for number in range(more - copies)
                 ]
                 copies, taken = more, []
@@ -140,11 +144,11 @@
         return None
     slots.sort(key=lambda slot: slot[0])
     reserved: dict[str, Resources] = defaultdict(Resources)
-    for _, worker, _ in slots[:needed]:
+    for _, _, worker, _ in slots[:needed]:
         reserved[worker.id] = reserved[worker.id] + step.spec.reserved
     return Preemption(
-        sum(cost for cost, _, _ in slots[:needed]),
-        [run for _, _, runs in slots[:needed] for run in runs],
+        sum(cost for _, cost, _, _ in slots[:needed]),
+        [run for _, _, _, runs in slots[:needed] for run in runs],
         dict(reserved),
     )
 
--- a/src/jaypier/jobs/tests/test_preemption.py
+++ b/src/jaypier/jobs/tests/test_preemption.py
@@ -99,3 +99,17 @@
         workers = list(cluster_state.workers.values())
         assert earliest_fit(step, workers, (), 0.0).seconds == pytest.approx(9.0)
         assert earliest_fit(step, workers, ("worker-00",), 0.0) is None
+
+
+class TestDependentSlots:
+    def test_victims_of_a_cheap_slot_alone_do_not_make_room(self):
+        # Regression: the last run alone was stopped, which leaves 2 accelerators for 4.
+        cluster_state = make_cluster_state(1)
+        steps = [make_step(accelerators=count, seconds=50.0) for count in (3, 3, 2)]
+        planner = make_planner(cluster_state, *(make_job(step, priority=2) for step in steps))
+        assert len(planner.plan(0.0, 0.0).starts) == 3
+        planner.observe_job(
+            cluster_state.add_job(make_job(make_step(accelerators=4), priority=0)), 1.0
+        )
+        stops = planner.plan(1.0, 1.0).stops
+        assert sum(run.step.spec.demand.accelerators for run in stops) >= 4
