Keep headroom within its share beside workers over their capacity

Cause: a worker whose urgent runs exceed its capacity, after that has shrunk, counted as negative headroom, so further workers were kept free in its place, beyond a quarter of all accelerators. Change: it counts as none. Measured: the test of test_capacity_changes.py passes (1 idle worker of 4 kept free, 4 before), as do the other tests of jobs without the fuzzer.

--- a/src/jaypier/jobs/headroom.py
+++ b/src/jaypier/jobs/headroom.py
@@ -70,5 +70,5 @@
                 if run.step.job.spec.priority == URGENT_PRIORITY
             )
             self.until[worker.id] = now + HEADROOM_HOLD_SECONDS
-            wanted -= worker.entry.capacity.accelerators - urgent
+            wanted -= max(0, worker.entry.capacity.accelerators - urgent)
         self.until = {worker_id: end for worker_id, end in self.until.items() if end > now}
