Withdraw a start that no longer fits when its worker has shrunk

Cause: once a start was decided, its request was sent and retried for up to 1.5 s, and up to 1.5 s after the wait for the record of a first start, whatever became of the worker's capacity. Change: before each request the leader looks whether the worker's runs exceed its capacity. A run whose request has not been sent is released, any other is stopped.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -509,6 +509,8 @@
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead.
 
+        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime.
+
         A task that must not start twice is started only after the store has recorded the start of
         its job.
 
@@ -535,6 +537,9 @@
         for tries in itertools.count(1):
             if run.is_stopping or worker.runs.get(run.key) is not run:
                 return
+            if worker.is_overcommitted:
+                self.withdraw_start(run, is_sent=tries > 1)
+                return
             try:
                 response = await session.link.start(self.epoch, request)
             except WorkerUnreachable as error:
@@ -573,6 +578,18 @@
         if response is not StartResponse.STARTED:
             self.scheduling_requested.set()
 
+    def withdraw_start(self, run: Run, is_sent: bool) -> None:
+        """Release a run that no longer fits on its worker; stop it if it may have started.
+
+        :param is_sent: whether its start request has been sent.
+        """
+        if is_sent:
+            self.give_up_start(run, "worker overcommitted")
+            return
+        log.info("start withdrawn", task=str(run.task), worker=run.worker.id)
+        self.cluster_state.apply_start_response(run, StartResponse.NO_ROOM, self.clock.now())
+        self.scheduling_requested.set()
+
     def give_up_start(self, run: Run, reason: str) -> None:
         """Request the stop of a run of which it is not known whether it has started."""
         if self.cluster_state.mark_stopping(run):
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -362,6 +362,11 @@
         """
         return self.clock + int((now - self.clock_read_at) * 1000)
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether its runs exceed its capacity, which may have shrunk."""
+        return min(self.free.processor_millis, self.free.memory_mb, self.free.accelerators) < 0
+
     def clear_suspicion(self) -> None:
         """Record that a run has succeeded on it."""
         self.suspicion = 0.0
