Failing test: a leader elected after a store outage trusts old capacities

Cause: the stand-in's listings showed the current entry of a worker, also before the worker had written it, so that a leader knew at once of a shrink during an outage. Change: listings show entries as they were written last; MemoryCluster tells the services that have workers which do not guard their capacity. No logic of jaypier changes.

--- a/src/jaypier/jobs/tests/test_capacity_changes.py
+++ b/src/jaypier/jobs/tests/test_capacity_changes.py
@@ -327,3 +327,17 @@
             await harness.wait_status(job, JobStatus.COMPLETED, 30)
 
         run_scenario(scenario, workers=1, guards_capacity=False)
+
+    def test_next_leader_after_a_store_outage_waits_until_workers_could_announce(self):
+        async def scenario(harness):
+            job = make_job(make_step(count=4, accelerators=4, seconds=3.0))
+            await harness.start_job(job, 2, 8)
+            worker = harness.cluster.workers["worker-00"]
+            harness.store.is_down = True
+            worker.change_capacity(HALF)
+            await harness.kill(harness.leader_name)
+            await asyncio.sleep(7.6)
+            harness.store.is_down = False
+            await harness.wait_status(job, JobStatus.COMPLETED, 30)
+
+        run_scenario(scenario, workers=1, guards_capacity=False)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -679,6 +679,7 @@
     :param lease_seconds: maximum lease of a worker.
     :param stop_delay_seconds: time that a run takes to end after it is stopped.
     :param gang_timeout_seconds: time after which a task of an incomplete gang ends.
+    :ivar announced_entries: entries as the workers last wrote them to the store, by worker id.
     :ivar cut_links: pairs of VM name and worker id that cannot reach each other.
     :ivar gangs: runs of each gang by job, occurrence, step and attempt.
     :ivar runs: all runs by task, attempt and worker id.
@@ -705,6 +706,7 @@
         self.stop_delay_seconds = stop_delay_seconds
         self.gang_timeout_seconds = gang_timeout_seconds
         self.workers: dict[str, MemoryWorker] = {}
+        self.announced_entries: dict[str, WorkerEntry] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.gangs: dict[tuple[str, int, int, int], list[tuple[MemoryWorker, WorkerRun]]] = {}
         self.runs: dict[tuple[TaskId, int, str], RecordedRun] = {}
@@ -743,8 +745,16 @@
         self.register(worker)
         return worker
 
+    @property
+    def unguarded_services(self) -> frozenset[str]:
+        """Services with workers that do not guard their capacity."""
+        return frozenset(
+            worker.entry.service for worker in self.workers.values() if not worker.guards_capacity
+        )
+
     def register(self, worker: MemoryWorker) -> None:
         """Write a worker's entry to the store."""
+        self.announced_entries[worker.entry.id] = worker.entry
         key = f"servers/{worker.entry.id}"
         self.store.apply(Transaction(puts=[Put(key, {"born": worker.entry.born})]))
 
@@ -782,7 +792,7 @@
         names = {row.name: row.value for row in changes.rows}
         return WorkerListing(
             {
-                name: None if value is None else self.workers[name].entry
+                name: None if value is None else self.announced_entries[name]
                 for name, value in names.items()
             },
             changes.version,
