Start nothing on unguarded workers by capacities that are too old

Cause: a leader goes on in a store outage on the authority of the workers' reports, and started tasks by the capacities that it had read before, for as long as the outage lasted; a new leader trusted entries that workers could not update during it. A worker cannot announce that it has shrunk while the store is down, and one that does not guard its capacity starts what it is told to. Change: EntryFreshness tells up to when all changes of capacity are known: one heartbeat before the last read, if the store was available for that long. When that is over 4.0 s ago, nothing starts on workers of services in unguarded_services. All other services are scheduled as before. The daemon does not set unguarded_services yet, as the configuration's AdmissionControl is not decoded, so only tests do.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from jaypier.jobs.freshness import EntryFreshness
 from jaypier.jobs.model import (
     ActiveRun,
     EndedRun,
@@ -85,6 +86,9 @@
     :ivar jobs: jobs by id.
     :ivar workers: workers by id.
     :ivar evacuated: data centres in which no task is started.
+    :ivar unguarded_services: pools whose workers start whatever they are told to, also what exceeds
+        their capacity.
+    :ivar entry_freshness: how recent the capacities of all workers are.
     :ivar dirty_jobs: ids of jobs whose progress has to be written to the store.
     :ivar release_count: number of runs that have released their resources, to detect changes.
     :ivar cancelled: ids of cancelled jobs, which may be ahead of the jobs' own rows.
@@ -98,6 +102,8 @@
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, Worker] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.unguarded_services: frozenset[str] = frozenset()
+        self.entry_freshness = EntryFreshness()
         self.dirty_jobs: set[str] = set()
         self.release_count = 0
         self.cancelled: set[str] = set()
@@ -227,6 +233,16 @@
         worker.is_registered = True
         return worker
 
+    def is_capacity_known(self, worker: Worker, now: float) -> bool:
+        """Whether tasks may be started by the capacity in a worker's entry.
+
+        A worker that guards its capacity refuses what does not fit.
+
+        :param now: time on the local clock, in seconds.
+        """
+        is_guarded = worker.entry.service not in self.unguarded_services
+        return is_guarded or self.entry_freshness.is_recent(now)
+
     def avoid_worker(self, worker: Worker, now: float) -> None:
         """Prefer other workers for ``FAILURE_AVOID_SECONDS``.
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -194,7 +194,7 @@
         await self.writer.open()
         jobs = await self.table.snapshot(JOBS_TABLE)
         progress = await self.table.snapshot(PROGRESS_TABLE)
-        listing = await self.directory.snapshot()
+        listing = await self.read_workers()
         changes = decode_job_rows(jobs.rows, jobs.version)
         self.cluster_state.cancelled.update(changes.cancelled)
         for state in restore_jobs(changes.accepted, progress.rows):
@@ -310,6 +310,7 @@
         """Apply changes of the registered workers."""
         while True:
             await asyncio.sleep(WORKER_POLL_INTERVAL_SECONDS)
+            sent_at = self.clock.now()
             try:
                 listing = await self.directory.watch(self.workers_version, 0.0)
             except HistoryCompacted:
@@ -318,11 +319,19 @@
             except PlatformUnavailable as error:
                 log.debug("worker watch failed", error=str(error))
                 continue
+            self.cluster_state.entry_freshness.observe_read(sent_at, self.clock.now())
             self.apply_listing(listing, is_complete=False)
 
+    async def read_workers(self) -> WorkerListing:
+        """Return the entries of all workers."""
+        sent_at = self.clock.now()
+        listing = await self.directory.snapshot()
+        self.cluster_state.entry_freshness.observe_read(sent_at, self.clock.now())
+        return listing
+
     async def reload_workers(self) -> None:
         """Read the entries of all workers again."""
-        self.apply_listing(await self.directory.snapshot(), is_complete=True)
+        self.apply_listing(await self.read_workers(), is_complete=True)
 
     async def retry_until_available(self, read: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Repeat a read until the store has responded."""
@@ -509,7 +518,8 @@
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead.
 
-        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime.
+        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime, or
+        is no longer known.
 
         A task that must not start twice is started only after the store has recorded the start of
         its job.
@@ -537,7 +547,8 @@
         for tries in itertools.count(1):
             if run.is_stopping or worker.runs.get(run.key) is not run:
                 return
-            if worker.is_overcommitted:
+            is_known = self.cluster_state.is_capacity_known(worker, self.clock.now())
+            if worker.is_overcommitted or not is_known:
                 self.withdraw_start(run, is_sent=tries > 1)
                 return
             try:
@@ -584,7 +595,7 @@
         :param is_sent: whether its start request has been sent.
         """
         if is_sent:
-            self.give_up_start(run, "worker overcommitted")
+            self.give_up_start(run, "worker overcommitted or its capacity unknown")
             return
         log.info("start withdrawn", task=str(run.task), worker=run.worker.id)
         self.cluster_state.apply_start_response(run, StartResponse.NO_ROOM, self.clock.now())
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -274,6 +274,7 @@
             and worker.entry.is_ready
             and not worker.is_unreachable
             and not worker.has_unknown_runs
+            and self.cluster_state.is_capacity_known(worker, now)
             and worker.entry.data_centre not in self.cluster_state.evacuated
         ]
         preferred = [worker for worker in usable if not worker.is_avoided(now)]
--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -171,6 +171,7 @@
                 Metrics(),
             )
             leader.cluster_state.evacuated = self.evacuated
+            leader.cluster_state.unguarded_services = self.cluster.unguarded_services
             self.leaders[name] = leader
             try:
                 await leader.run()
