Failing test: a late start outlives its lease on a long-idle worker

Cause: idle workers are not polled, so the leader's estimate of a worker's clock can be minutes old. A clock that is 2% slow is then seconds behind the estimate, and so is the end of the lease that a start request names. A start that is carried out late is valid beyond the leader's record of the lease; the task had been started elsewhere. No logic changes.

--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from jaypier.jobs.model import JobStatus
+from jaypier.jobs.model import JobStatus, Resources
 from jaypier.jobs.rows import JobTable
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
 from jaypier.platform import Put, Transaction
@@ -346,3 +346,45 @@
             await harness.wait_until(lambda: harness.leader_name == "vm-c", 0.3)
 
         run_scenario(scenario)
+
+
+class TestWorkerClocks:
+    @pytest.mark.parametrize("idle_seconds", [5.0, 100.0])
+    @pytest.mark.parametrize("delay_seconds", [6.2, 8.0])
+    def test_late_start_on_a_long_idle_worker_with_a_slow_clock(self, idle_seconds, delay_seconds):
+        # Regression: the start was carried out after its lease had expired at the leader.
+        async def scenario(harness):
+            cluster = harness.cluster
+            first, second = cluster.workers.values()
+            first.clock_rate = second.clock_rate = 0.98
+            await asyncio.sleep(idle_seconds)
+            second.change_capacity(Resources())
+            await asyncio.sleep(2.5)
+            cluster.rng.uniform = lambda low, high: delay_seconds
+            first.late_request_probability = 1.0
+            cluster.submit(make_job(make_step(seconds=20.0)))
+            await asyncio.sleep(0.05)
+            cluster.cut_links |= {(name, first.entry.id) for name in ("vm-a", "vm-b")}
+            second.change_capacity(first.entry.capacity)
+            await asyncio.sleep(20.0)
+            assert any(run.worker == second.entry.id for run in cluster.runs.values())
+
+        run_scenario(scenario, workers=2)
+
+    def test_task_starts_at_once_on_a_long_idle_worker(self):
+        async def scenario(harness):
+            await asyncio.sleep(1000.0)
+            harness.cluster.submit(make_job(make_step(seconds=20.0)))
+            await harness.wait_until(lambda: bool(harness.cluster.runs), 0.2)
+
+        run_scenario(scenario, workers=1)
+
+    def test_idle_worker_is_rarely_polled(self):
+        async def scenario(harness):
+            await asyncio.sleep(100.0)
+            (worker,) = harness.cluster.workers.values()
+            before = worker.report_count
+            await asyncio.sleep(600.0)
+            assert worker.report_count - before <= 10
+
+        run_scenario(scenario, workers=1)
