Base leases on the least that a worker's clock may show

Change: the estimate of a worker's clock counts the time since it was read at the slowest rate that the specification allows, so no lease ends later than recorded. As that shortens the lease of a start by 2% of that time, the clock of an idle worker is read again after 60 s. Ruled out: longer records of leases; a worker that is lost after its first start would hold its runs for 3% of the time that it had been idle. Cost: one poll a minute of each idle worker.

--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -21,6 +21,10 @@
 """Time between two checks whether an idle worker has to be polled; its response shows whether it
 has accepted a newer epoch."""
 
+CLOCK_MAX_AGE_SECONDS = 60.0
+"""Age of the last reading of a worker's clock after which an idle worker is polled: its clock may
+then be 1.2 s ahead of the estimate, and a start's lease that much shorter."""
+
 ACKNOWLEDGEMENT_MAX_AGE_SECONDS = 2.0
 """Age of the last report up to which the worker process that sent it is assumed to be running."""
 
@@ -174,9 +178,9 @@
         """Wait until the worker has to be polled again.
 
         A worker with ended runs that are not durable yet is polled after a wake-up, at the latest
-        after ``LONG_POLL_SECONDS``. An idle worker is polled when that has changed or while the
-        store does not confirm this leader; both are checked after a wake-up, at the latest after
-        ``IDLE_CHECK_SECONDS``. Any other worker is polled at once.
+        after ``LONG_POLL_SECONDS``. An idle worker is polled when that has changed, while the store
+        does not confirm this leader, or when its clock was read too long ago; all are checked after
+        a wake-up, at the latest after ``IDLE_CHECK_SECONDS``. Any other worker is polled at once.
         """
         worker, leader = self.worker, self.leader
         if worker.last_processed_end > worker.last_durable_end:
@@ -184,7 +188,8 @@
             return
         while self.is_idle and not self.is_closed:
             await self.wait_for_wake(IDLE_CHECK_SECONDS)
-            if not leader.is_confirmed_by_store:
+            clock_age = leader.clock.now() - worker.clock_read_at
+            if not leader.is_confirmed_by_store or clock_age > CLOCK_MAX_AGE_SECONDS:
                 return
 
     @property
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -21,6 +21,9 @@
 CORES_PER_ACCELERATOR = 8
 """Processor cores that one accelerator counts as, according to the users' rules on wasted work."""
 
+SLOWEST_CLOCK_RATE = 0.98
+"""Seconds of a worker's clock per second, at least, according to the platform's specification."""
+
 UNSENT_DEADLINE = 1 << 62
 """Start deadline of a run whose start request has not been sent yet: a time on the worker's clock,
 in milliseconds, that is never reached."""
@@ -356,11 +359,13 @@
         return self.entry.id
 
     def estimated_clock(self, now: float) -> int:
-        """Return the worker's estimated clock in milliseconds.
+        """Return the least that the worker's clock may show, in milliseconds.
+
+        A lease that is based on it does not end later than recorded.
 
         :param now: time on the local clock, in seconds.
         """
-        return self.clock + int((now - self.clock_read_at) * 1000)
+        return self.clock + int((now - self.clock_read_at) * SLOWEST_CLOCK_RATE * 1000)
 
     @property
     def is_overcommitted(self) -> bool:
