--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -198,7 +198,7 @@
         """Load jobs, their progress and the workers from the store."""
         jobs = await self.table.snapshot(JOBS_TABLE)
         progress = await self.table.snapshot(PROGRESS_TABLE)
-        listing = await self.directory.snapshot()
+        listing = await self.read_workers()
         changes = decode_job_rows(jobs.rows, jobs.version)
         self.cluster_state.cancelled.update(changes.cancelled)
         for state in restore_jobs(changes.accepted, progress.rows):
@@ -314,6 +314,7 @@
         """Apply changes of the registered workers."""
         while True:
             await asyncio.sleep(WORKER_POLL_INTERVAL_SECONDS)
+            sent_at = self.clock.now()
             try:
                 listing = await self.directory.watch(self.workers_version, 0.0)
             except HistoryCompacted:
@@ -322,11 +323,19 @@
             except PlatformUnavailable as error:
                 log.debug("worker watch failed", error=str(error))
                 continue
+            self.cluster_state.entry_freshness.observe_read(sent_at, self.clock.now())
             self.apply_listing(listing, is_complete=False)
 
+    async def read_workers(self) -> WorkerListing:
+        """Return the entries of all workers."""
+        sent_at = self.clock.now()
+        listing = await self.directory.snapshot()
+        self.cluster_state.entry_freshness.observe_read(sent_at, self.clock.now())
+        return listing
+
     async def reload_workers(self) -> None:
         """Read the entries of all workers again."""
-        self.apply_listing(await self.directory.snapshot(), is_complete=True)
+        self.apply_listing(await self.read_workers(), is_complete=True)
 
     async def retry_until_available(self, read: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Repeat a read until the store has responded."""
@@ -516,6 +525,9 @@
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead.
 
+        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime, or
+        is no longer known.
+
         A task that must not start twice is started only after the store has recorded the start of
         its job.
 
@@ -542,6 +554,10 @@
         for tries in itertools.count(1):
             if run.is_stopping or worker.runs.get(run.key) is not run:
                 return
+            is_known = self.cluster_state.is_capacity_known(worker, self.clock.now())
+            if worker.is_overcommitted or not is_known:
+                self.withdraw_start(run, is_sent=tries > 1)
+                return
             try:
                 response = await session.link.start(self.epoch, request)
             except WorkerUnreachable as error:
@@ -580,6 +596,18 @@
         if response is not StartResponse.STARTED:
             self.scheduling_requested.set()
 
+    def withdraw_start(self, run: Run, is_sent: bool) -> None:
+        """Release a run that no longer fits on its worker; stop it if it may have started.
+
+        :param is_sent: whether its start request has been sent.
+        """
+        if is_sent:
+            self.give_up_start(run, "worker overcommitted or its capacity unknown")
+            return
+        log.info("start withdrawn", task=str(run.task), worker=run.worker.id)
+        self.cluster_state.apply_start_response(run, StartResponse.NO_ROOM, self.clock.now())
+        self.scheduling_requested.set()
+
     def give_up_start(self, run: Run, reason: str) -> None:
         """Request the stop of a run of which it is not known whether it has started."""
         if self.cluster_state.mark_stopping(run):
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -223,7 +223,8 @@
         def sort_key(state: JobState) -> tuple:
             job = state.spec
             if job.id in covered:
-                return (0, self.guarantees[job.team], job.submitted_at, job.id)
+                guaranteed = self.guarantees.get(job.team, 0)
+                return (0, guaranteed, job.submitted_at, job.id)
             return (1, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
@@ -259,6 +260,8 @@
     def usable_workers(self, now: float) -> list[Worker]:
         """Return the workers that accept new tasks.
 
+        On a worker with unknown runs it is not known what is free.
+
         Workers to be avoided are only returned if there are no others.
 
         :param now: time on the local clock, in seconds.
@@ -270,6 +273,8 @@
             and worker.is_registered
             and worker.entry.is_ready
             and not worker.is_unreachable
+            and not worker.has_unknown_runs
+            and self.cluster_state.is_capacity_known(worker, now)
             and worker.entry.data_centre not in self.cluster_state.evacuated
         ]
         preferred = [worker for worker in usable if not worker.is_avoided(now)]
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -21,6 +21,10 @@
 """Time between two checks whether an idle worker has to be polled; its response shows whether it
 has accepted a newer epoch."""
 
+CLOCK_MAX_AGE_SECONDS = 60.0
+"""Age of the last reading of a worker's clock after which an idle worker is polled: its clock may
+then be 1.2 s ahead of the estimate, and a start's lease that much shorter."""
+
 ACKNOWLEDGEMENT_MAX_AGE_SECONDS = 2.0
 """Age of the last report up to which the worker process that sent it is assumed to be running."""
 
@@ -132,7 +136,8 @@
             and leader.has_authority
         ):
             deadline = leader.cluster_state.extend_lease(worker, sent_at)
-        wait = LONG_POLL_SECONDS if deadline is not None else 0.0
+        is_waiting_for_end = deadline is not None or worker.has_unknown_runs
+        wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
         if worker.last_processed_end > worker.last_durable_end:
             wait = 0.0
         was_unreachable = worker.is_unreachable
@@ -143,6 +148,7 @@
         now = leader.clock.now()
         born = worker.born
         was_reconciled, releases = worker.is_reconciled, leader.cluster_state.release_count
+        had_unknown_runs = worker.has_unknown_runs
         ends, unknown = leader.cluster_state.apply_report(worker, report, sent_at, now)
         has_restarted = worker.born != born
         self.last_acknowledged = 0 if has_restarted else max(self.last_acknowledged, acknowledged)
@@ -160,16 +166,21 @@
             leader.stop_unknown_run(run)
         if ends:
             leader.progress_writer.write_requested.set()
-        if releases != leader.cluster_state.release_count or was_unreachable or not was_reconciled:
+        has_more_room = (
+            releases != leader.cluster_state.release_count
+            or had_unknown_runs
+            and not worker.has_unknown_runs
+        )
+        if has_more_room or was_unreachable or not was_reconciled:
             leader.scheduling_requested.set()
 
     async def wait_for_next_renewal(self) -> None:
         """Wait until the worker has to be polled again.
 
         A worker with ended runs that are not durable yet is polled after a wake-up, at the latest
-        after ``LONG_POLL_SECONDS``. An idle worker is polled when that has changed or while the
-        store does not confirm this leader; both are checked after a wake-up, at the latest after
-        ``IDLE_CHECK_SECONDS``. Any other worker is polled at once.
+        after ``LONG_POLL_SECONDS``. An idle worker is polled when that has changed, while the store
+        does not confirm this leader, or when its clock was read too long ago; all are checked after
+        a wake-up, at the latest after ``IDLE_CHECK_SECONDS``. Any other worker is polled at once.
         """
         worker, leader = self.worker, self.leader
         if worker.last_processed_end > worker.last_durable_end:
@@ -177,7 +188,8 @@
             return
         while self.is_idle and not self.is_closed:
             await self.wait_for_wake(IDLE_CHECK_SECONDS)
-            if not leader.is_confirmed_by_store:
+            clock_age = leader.clock.now() - worker.clock_read_at
+            if not leader.is_confirmed_by_store or clock_age > CLOCK_MAX_AGE_SECONDS:
                 return
 
     @property
@@ -185,7 +197,8 @@
         """Whether the worker has no run, and has been told of all ends that are durable."""
         worker = self.worker
         is_acknowledged = self.last_acknowledged >= worker.last_durable_end
-        return worker.is_reconciled and not worker.runs and is_acknowledged
+        is_running = worker.runs or worker.has_unknown_runs
+        return worker.is_reconciled and not is_running and is_acknowledged
 
     async def wait_for_wake(self, seconds: float) -> None:
         """Wait for a wake-up, for at most ``seconds``."""
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -21,6 +21,9 @@
 CORES_PER_ACCELERATOR = 8
 """Processor cores that one accelerator counts as, according to the users' rules on wasted work."""
 
+SLOWEST_CLOCK_RATE = 0.98
+"""Seconds of a worker's clock per second, at least, according to the platform's specification."""
+
 UNSENT_DEADLINE = 1 << 62
 """Start deadline of a run whose start request has not been sent yet: a time on the worker's clock,
 in milliseconds, that is never reached."""
@@ -318,8 +321,11 @@
     :param drain_deadline: time on the local clock, in seconds, from which a draining worker may be
         gone, ``inf`` for one that is not draining.
     :param is_unreachable: whether the newest request to the worker failed.
+    :param has_unknown_runs: whether the newest report listed active runs that are not in ``runs``.
+        They hold capacity until they have ended.
     :param runs: current runs by task and attempt number.
-    :param free: resources that no run holds.
+    :param free: resources that no run holds, negative where the runs exceed a capacity that has
+        shrunk.
     """
 
     entry: WorkerEntry
@@ -341,6 +347,7 @@
     suspected_until: float = -math.inf
     drain_deadline: float = math.inf
     is_unreachable: bool = False
+    has_unknown_runs: bool = False
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     free: Resources = attrs.field(
         default=attrs.Factory(lambda self: self.entry.capacity, takes_self=True)
@@ -352,11 +359,18 @@
         return self.entry.id
 
     def estimated_clock(self, now: float) -> int:
-        """Return the worker's estimated clock in milliseconds.
+        """Return the least that the worker's clock may show, in milliseconds.
+
+        A lease that is based on it does not end later than recorded.
 
         :param now: time on the local clock, in seconds.
         """
-        return self.clock + int((now - self.clock_read_at) * 1000)
+        return self.clock + int((now - self.clock_read_at) * SLOWEST_CLOCK_RATE * 1000)
+
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether its runs exceed its capacity, which may have shrunk."""
+        return min(self.free.processor_millis, self.free.memory_mb, self.free.accelerators) < 0
 
     def clear_suspicion(self) -> None:
         """Record that a run has succeeded on it."""
