--- a/src/jaypier/entry/configuration.py
+++ b/src/jaypier/entry/configuration.py
@@ -62,12 +62,15 @@
 
     :param version: number that grows with each change.
     :param limits: HTTP limits for callers' connections.
+    :param unguarded_services: pools whose workers start whatever they are told to, also what
+        exceeds their capacity.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     teams: tuple[Team, ...] = ()
     limits: HttpLimits = attrs.field(factory=HttpLimits)
+    unguarded_services: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``.
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -241,7 +241,7 @@
             log.info("leadership resignation failed", reason=str(error))
 
     async def update_leader(self, leader: Leader) -> None:
-        """Pass changes of guarantees and drained data centres to the leader, until cancelled."""
+        """Pass changes that operators made to the leader, until cancelled."""
         applied: tuple | None = None
         while True:
             configuration = self.watcher.configuration
@@ -251,6 +251,7 @@
                 applied = current
                 leader.cluster_state.evacuated = self.watcher.out_of_service
                 if configuration is not None:
+                    leader.cluster_state.unguarded_services = configuration.unguarded_services
                     leader.planner.guarantees = {
                         team.name: team.guaranteed_accelerators for team in configuration.teams
                     }
--- a/src/jaypier/platform/operators.py
+++ b/src/jaypier/platform/operators.py
@@ -70,6 +70,11 @@
             for team in value.get("Tenants", ())
         ),
         limits=_decode_limits(value.get("Limits", {})),
+        unguarded_services=frozenset(
+            service["Name"]
+            for service in value.get("Services", ())
+            if not service.get("AdmissionControl", False)
+        ),
     )
 
 
--- a/src/jaypier/platform/tests/test_operators.py
+++ b/src/jaypier/platform/tests/test_operators.py
@@ -24,6 +24,12 @@
         assert configuration.find_route("desk.example", "/none/x") is None
         assert configuration.find_route("other.example", "/urgent/x") is None
 
+    def test_services_whose_workers_do_not_guard_their_capacity(self):
+        value = encode_configuration(7, {})
+        value["Services"] = [{"Name": "guarded", "AdmissionControl": True}, {"Name": "open"}]
+        configuration = decode_changes(Changes([Row("op/config", value, 3)], 3)).configuration
+        assert configuration.unguarded_services == {"open"}
+
     def test_data_centres_out_of_service(self):
         assert decode_changes(Changes(ROWS, 6)).out_of_service == {"dc-a": True, "dc-b": False}
 
@@ -40,6 +46,7 @@
             {"Version": 1, "Routes": [{"Host": "a"}]},
             {"Version": 1, "Tenants": [{"Name": "a", "ApiKeys": 7}]},
             {"Version": 1, "Limits": "none"},
+            {"Version": 1, "Services": [{"AdmissionControl": True}, {}]},
         ],
     )
     def test_unreadable_configuration_is_not_taken_for_a_confirmation(self, value):
