Decode the machine that a worker runs on

Change: an entry names its machine, empty where the platform does not; recorded workers of earlier versions stay decodable. No decision uses it yet. Measured: the tests of platform pass.

--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -254,6 +254,8 @@
     :param born: Unix time in milliseconds at which the worker process started.
     :param clock: the worker's own clock at registration, in milliseconds.
     :param remaining_seconds: minimum time that the worker stays up after it starts draining.
+    :param machine: name of the machine, which runs one worker process at a time; empty if the entry
+        does not name it. A restarted worker may have another id on the same machine.
     """
 
     id: str
@@ -267,6 +269,7 @@
     born: int
     clock: int
     remaining_seconds: float = DEFAULT_DRAIN_SECONDS
+    machine: str = ""
 
 
 class RunOutcome(StrEnum):
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -22,6 +22,7 @@
     "ClockMs": 482113,
     "Sequence": 4,
     "born": 1783120004753,
+    "Machine": "m-7",
 }
 
 
@@ -34,6 +35,11 @@
         assert entry.capacity.accelerators == 8
         assert entry.is_ready
         assert entry.born == 1783120004753
+        assert entry.machine == "m-7"
+
+    def test_entry_may_leave_out_its_machine(self):
+        without_machine = {key: value for key, value in ENTRY.items() if key != "Machine"}
+        assert decode_worker(Row("servers/i-1", without_machine, 3)).machine == ""
 
     def test_draining_worker_is_not_ready(self):
         assert not decode_worker(Row("servers/i-1", {**ENTRY, "State": "draining"}, 3)).is_ready
@@ -49,6 +55,7 @@
             {"Capacity": {"Cpu": "many", "MemMb": 1, "Gpu": 1}},
             {"Labels": 3},
             {"Service": None},
+            {"Machine": 7},
         ],
     )
     def test_malformed_entry_is_ignored(self, change):
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -99,6 +99,7 @@
                 entry.get("RemainingMs", DEFAULT_DRAIN_SECONDS * 1000)
             )
             / 1000,
+            machine=_decode_string(entry.get("Machine", "")),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
