Stand-ins: tasks that crash each worker that starts them

Cause: no test could play a task that crashes its workers; a crashed worker only came back under its own id. Nothing changes where no task is deadly.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -51,6 +51,7 @@
     Transaction,
     WatchableTable,
 )
+from standins.crashes import DeadlyTasks
 
 MAX_ROW_BYTES = 65536
 """Maximum size of a row's value."""
@@ -498,6 +499,7 @@
         """Stop the worker abruptly; its active runs are lost without being reported."""
         lost = list(self.active.values())
         self.active.clear()
+        self.cluster.deadly.observe_crash(self, lost)
         for run in lost:
             if run.end_timer is not None:
                 run.end_timer.cancel()
@@ -642,6 +644,7 @@
     :ivar evacuated_at: time at which each data centre was taken out of service, in seconds.
     :ivar draining_since: time at which each draining worker began to drain, in seconds.
     :ivar is_executing_late_request: whether the current request was sent earlier and timed out.
+    :ivar deadly: tasks that crash their workers, and the crashes.
     """
 
     def __init__(
@@ -668,6 +671,7 @@
         self.evacuated_at: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
         self.is_executing_late_request = False
+        self.deadly = DeadlyTasks(self)
         self.ports = itertools.count(1000)
 
     def add_worker(
@@ -690,9 +694,14 @@
             is_ready=True,
             born=1,
             clock=0,
+            machine=f"machine-{worker_id}",
         )
+        return self.add_process(entry)
+
+    def add_process(self, entry: WorkerEntry) -> MemoryWorker:
+        """Add a worker process with a given entry and register it."""
         worker = MemoryWorker(self, entry)
-        self.workers[worker_id] = worker
+        self.workers[entry.id] = worker
         self.register(worker)
         return worker
 
@@ -786,6 +795,7 @@
         self.runs[(run.task, run.attempt, worker.entry.id)] = RecordedRun(
             run.task, run.attempt, worker.entry.id, now
         )
+        self.deadly.observe_start(worker, run)
         if run.step.is_gang:
             self.join_gang(worker, run)
         else:
--- a/standins/protocol.py
+++ b/standins/protocol.py
@@ -217,6 +217,7 @@
         "ClockMs": worker.clock,
         "Sequence": 1,
         "born": entry.born,
+        "Machine": entry.machine,
     }
 
 
