Give up tasks that crash the workers that start them

Change: the next process on a machine, or under the same id, proves that the last one has ended. Its runs are lost at once instead of after their lease. Blamed are those that this leader had started and that had not worked for 2 s, also if the proof comes after the lease; silence, removed entries, partitions and draining prove nothing. A task is given up after two certain crashes, or three if some are uncertain: the machine has not come back, or another worker became silent within 1 s. Two of a member are enough where three gang attempts have crashed a worker. A run that works for 2 s, or fails by itself, clears its task. Long-running tasks are given up as well, as each restart crashes another worker. Crashes and suspicions are durable; jobs with such tasks start only once they are recorded.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from jaypier.jobs.crashes import CrashRecord
 from jaypier.jobs.model import (
     ActiveRun,
     EndedRun,
@@ -90,6 +91,7 @@
     :ivar cancelled: ids of cancelled jobs, which may be ahead of the jobs' own rows.
     :ivar orphans: unknown jobs that workers have reported, by id.
     :ivar estimate_accuracy: accuracy of run time estimates by queue.
+    :ivar crashes: crashes of workers and the tasks that may have caused them.
     """
 
     def __init__(self, epoch: int, lease_seconds: float) -> None:
@@ -103,6 +105,7 @@
         self.cancelled: set[str] = set()
         self.orphans: dict[str, OrphanedJob] = {}
         self.estimate_accuracy: dict[str, EstimateAccuracy] = defaultdict(EstimateAccuracy)
+        self.crashes = CrashRecord(self)
 
     # Jobs
 
@@ -225,6 +228,8 @@
             self.workers[entry.id] = worker
         worker.update_entry(entry, now)
         worker.is_registered = True
+        if not entry.is_ready:
+            self.crashes.observe_draining(worker)
         return worker
 
     def avoid_worker(self, worker: Worker, now: float) -> None:
@@ -298,6 +303,9 @@
         task.run = run
         worker.allocate(run)
         state = step.job
+        if state.crash_suspects:
+            # The suspicion has to be recorded before the run starts.
+            self.dirty_jobs.add(state.spec.id)
         if not state.has_started:
             state.has_started = True
             state.status = JobStatus.RUNNING
@@ -313,6 +321,7 @@
 
     def mark_run_lost(self, run: Run) -> None:
         """Record that a run has ended with unknown outcome."""
+        self.crashes.observe_lost_run(run)
         self.end_run(run)
         self.end_unrepeatable_job(run.step.job)
 
@@ -356,11 +365,11 @@
         """
         if report.born < worker.born:
             return [], []
-        if report.born > worker.born:
+        has_restarted = report.born > worker.born
+        if has_restarted:
             # A restarted worker numbers its ended runs from 1 again. Its runs are not marked as
             # lost here, because a start request may have reached it before this leader knew of
             # the restart; the report lists the active ones.
-            worker.born = report.born
             worker.last_processed_end = worker.last_durable_end = 0
             worker.consecutive_failures = 0
         worker.clock, worker.clock_read_at = report.clock, now
@@ -388,7 +397,11 @@
                 sent_at > run.reports_conclusive_after or report.clock > run.start_deadline
             )
             if run.key not in active and is_conclusive:
+                if not has_restarted:
+                    self.crashes.exempt_run(run)
                 self.mark_run_lost(run)
+        worker.born = report.born
+        self.crashes.observe_report(worker, has_restarted)
         update_slow_worker(worker, self.estimate_accuracy, now)
         return new_ends, unknown
 
@@ -406,11 +419,15 @@
             run = self.adopt_run(worker, active, now)
             if run is None:
                 return False
+        elif not run.is_confirmed:
+            run.is_on_probation = True
         run.is_confirmed = True
         run.reports_conclusive_after = min(run.reports_conclusive_after, sent_at)
         if active.percent > run.percent or run.last_progress_at == math.inf:
             run.percent, run.last_progress_at = active.percent, now
         sample_speed(run, now)
+        if run.is_on_probation or run.task in run.step.job.crash_suspects:
+            self.crashes.observe_work(run, now)
         if active.checkpoint:
             self.record_checkpoint(run, active.checkpoint)
         return True
@@ -459,6 +476,7 @@
         step, task = found
         state = step.job
         state.highest_attempt = max(state.highest_attempt, end.attempt)
+        self.crashes.observe_end(end)
         if end.checkpoint and not task.is_done:
             for each in step.tasks if step.spec.is_gang else [task]:
                 each.checkpoint = end.checkpoint
@@ -487,6 +505,7 @@
         for each in step.tasks if step.spec.is_gang else [task]:
             each.is_done = True
             each.checkpoint = ""
+            step.job.crash_suspects.discard(each.id)
         state = step.job
         if not state.status.is_final and state.is_done:
             state.status = JobStatus.COMPLETED
@@ -525,6 +544,7 @@
         if run.worker.runs.get(run.key) is not run:
             return
         if response is StartResponse.STARTED:
+            run.is_on_probation = run.is_on_probation or not run.is_confirmed
             run.is_confirmed = True
             run.reports_conclusive_after = now
             return
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -12,6 +12,7 @@
 from jaypier.core.codec import decode_valid
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.cluster_state import ClusterState, UnknownRun
+from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
 from jaypier.jobs.model import StartRequest, StartResponse, TaskId, WorkerEntry
@@ -414,6 +415,7 @@
             await asyncio.sleep(PASS_PAUSE_FACTOR * pass_seconds)
             self.scheduling_requested.clear()
             self.reconcile_workers()
+            log_crashes(self.cluster_state.crashes, self.metrics)
             self.stop_runs(list(self.cluster_state.mark_obsolete_runs()), "no longer needed")
             self.stop_runs(mark_straggler_runs(self.cluster_state), "straggler")
             self.stop_runs(
@@ -462,6 +464,7 @@
             self.has_reconciled = True
             self.cluster_state.tear_down_partial_gangs()
             self.cluster_state.end_lost_unrepeatable_jobs()
+            self.cluster_state.crashes.give_up_restored_tasks()
             log.info("workers reconciled", epoch=self.epoch, seconds=now - self.elected_at)
 
     async def run_periodic_checks(self) -> None:
@@ -473,6 +476,8 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             now = self.clock.now()
             self.cluster_state.open_due_occurrences(self.wall_clock())
+            for worker in self.cluster_state.crashes.settle_ended_processes():
+                self.drop_worker(worker)
             for worker in self.cluster_state.expire_leases(now):
                 log.info(
                     "lease expired",
@@ -509,20 +514,20 @@
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead.
 
-        A task that must not start twice is started only after the store has recorded the start of
-        its job.
+        A task that must not start twice, or whose job may crash its workers, is started only after
+        the store has recorded that.
 
         :raises LeadershipLost: when the worker has accepted a newer epoch.
         """
         worker = run.worker
-        session = self.sessions[worker.id]
+        session = self.sessions.get(worker.id)
+        if session is None:
+            return
         run.start_deadline = self.cluster_state.extend_lease(worker, self.clock.now())
         session.wake_event.set()
         state = run.step.job
-        if not state.spec.is_repeatable:
-            if not await self.progress_writer.wait_until_start_recorded(
-                state, START_TIMEOUT_SECONDS
-            ):
+        if not state.spec.is_repeatable or state.crash_suspects:
+            if not await self.progress_writer.wait_until_start_recorded(run, START_TIMEOUT_SECONDS):
                 log.info("start not recorded in time", task=str(run.task), attempt=run.attempt)
                 self.cluster_state.apply_start_response(
                     run, StartResponse.EXPIRED, self.clock.now()
--- a/src/jaypier/jobs/progress.py
+++ b/src/jaypier/jobs/progress.py
@@ -15,6 +15,9 @@
         empty for none.
     :param failures: numbers of the failed attempts, by index of the task; only tasks that have any.
     :param failed_attempts: numbers of the attempts of a gang in which a task failed.
+    :param crashes: numbers of the attempts that crashed their workers, by index of the task; only
+        tasks that have any.
+    :param suspected_crashes: the same for attempts that may have crashed their workers.
     :param checkpoints: newest checkpoint by index of the task, for unfinished tasks that have one;
         for a gang only that of the first task, which all tasks share.
     """
@@ -24,6 +27,8 @@
     failures: dict[int, list[int]] = attrs.field(factory=dict)
     failed_attempts: list[int] = attrs.field(factory=list)
     checkpoints: dict[int, str] = attrs.field(factory=dict)
+    crashes: dict[int, list[int]] = attrs.field(factory=dict)
+    suspected_crashes: dict[int, list[int]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -90,6 +95,16 @@
             for task in checkpoint_tasks
             if task.checkpoint and not task.is_done
         },
+        crashes={
+            task.id.index: sorted(task.crashed_attempts)
+            for task in step.tasks
+            if task.crashed_attempts and not task.is_done
+        },
+        suspected_crashes={
+            task.id.index: sorted(task.suspected_crashes)
+            for task in step.tasks
+            if task.suspected_crashes and not task.is_done
+        },
     )
 
 
@@ -135,4 +150,8 @@
         index = task.id.index
         task.is_done = recorded.is_done or bool(done >> index & 1)
         task.failed_attempts = set(recorded.failures.get(index, ()))
+        task.crashed_attempts = set(recorded.crashes.get(index, ()))
+        task.suspected_crashes = set(recorded.suspected_crashes.get(index, ()))
+        if task.possible_crashes:
+            step.job.crash_suspects.add(task.id)
         task.checkpoint = recorded.checkpoints.get(0 if step.spec.is_gang else index, "")
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -13,7 +13,7 @@
 from jaypier.jobs.model import WorkerEntry
 from jaypier.jobs.progress import record_progress, without_checkpoints
 from jaypier.jobs.rows import PENDING_KEY, cancel_key, job_key, progress_key, worker_key
-from jaypier.jobs.state import JobState
+from jaypier.jobs.state import JobState, Run
 from jaypier.platform import Put
 
 if TYPE_CHECKING:
@@ -93,6 +93,7 @@
             if worker.last_processed_end > worker.last_durable_end
         }
         states, puts = self.collect_changed_jobs()
+        attempts = {state.spec.id: state.highest_attempt for state in states}
         covers_all = not leader.cluster_state.dirty_jobs
         ended = [state.spec.id for state in states if state.status.is_final]
         recorded = [(state.spec.id, str(state.status)) for state in states]
@@ -106,6 +107,8 @@
         self.saved_workers = current
         for job_id, status in recorded:
             log.info("job recorded", job=job_id, status=status)
+        for state in states:
+            state.recorded_attempt = max(state.recorded_attempt, attempts[state.spec.id])
         await self.mark_starts_recorded(started)
         for job_id in ended:
             leader.cluster_state.jobs[job_id].ended_at = leader.clock.now()
@@ -147,15 +150,27 @@
         async with self.start_recorded:
             self.start_recorded.notify_all()
 
-    async def wait_until_start_recorded(self, state: JobState, seconds: float) -> bool:
-        """Wait until the store has recorded that a job may have been started.
+    async def wait_until_start_recorded(self, run: Run, seconds: float) -> bool:
+        """Wait until the store has recorded what has to be known before the start of a run.
+
+        That is the start of a job that must not start twice, and the crashes under a job that may
+        crash its workers.
 
         :param seconds: longest wait.
         :returns: whether it is recorded.
         """
+        state = run.step.job
+
+        def is_recorded() -> bool:
+            is_known = state.spec.is_repeatable or state.has_recorded_start
+            is_covered = not state.crash_suspects or state.recorded_attempt >= run.attempt
+            return is_known and is_covered
+
+        if is_recorded():
+            return True
         try:
             async with asyncio.timeout(seconds), self.start_recorded:
-                await self.start_recorded.wait_for(lambda: state.has_recorded_start)
+                await self.start_recorded.wait_for(is_recorded)
         except TimeoutError:
             return False
         return True
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -94,6 +94,9 @@
         worker, leader = self.worker, self.leader
         if not worker.is_unreachable:
             log.info("worker unreachable", worker=worker.id, reason=str(error))
+            leader.cluster_state.crashes.observe_silence(worker, leader.clock.now())
+            if leader.cluster_state.dirty_jobs:
+                leader.progress_writer.write_requested.set()
         worker.is_unreachable = True
         leader.metrics.count("leader.workers_unreachable")
         if worker.entry.address != self.address:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -40,6 +40,8 @@
     :param reports_conclusive_after: time on the local clock, in seconds, after which a report tells
         whether the run exists: if a report requested later does not list the run, it has ended.
     :param is_confirmed: whether the worker has confirmed that the run started.
+    :param is_on_probation: whether a crash of the worker would be attributed to the run, among
+        others: this leader has started it, and it has not worked for long.
     :param is_stopping: whether the run has been marked to be stopped.
     :param percent: newest reported progress in percent.
     :param last_progress_at: time on the local clock, in seconds, at which the progress last
@@ -59,6 +61,7 @@
     start_deadline: int = UNSENT_DEADLINE
     reports_conclusive_after: float = math.inf
     is_confirmed: bool = False
+    is_on_probation: bool = False
     is_stopping: bool = False
     percent: float = 0.0
     last_progress_at: float = math.inf
@@ -71,6 +74,11 @@
         """Task and attempt number, which together identify the run."""
         return self.task, self.attempt
 
+    @property
+    def may_crash_worker(self) -> bool:
+        """Whether the run may just be starting, and so may still crash its worker."""
+        return self.is_on_probation or not self.is_confirmed
+
     def remaining_seconds(self, now: float) -> float:
         """Return the estimated remaining run time, infinite for a long-running task.
 
@@ -106,6 +114,9 @@
     :param is_done: whether the task has succeeded.
     :param failed_attempts: numbers of the attempts that failed. A set rather than a count, because
         a worker reports an ended run again to a new leader until it is acknowledged.
+    :param crashed_attempts: numbers of the attempts that crashed their workers.
+    :param suspected_crashes: numbers of those that may have: their workers have not come back, or
+        became silent together with others.
     :param checkpoint: newest known checkpoint, empty for none.
     :param failed_on: ids of the workers that the next start avoids: those on which the task failed,
         or from which it was moved.
@@ -115,10 +126,17 @@
     id: TaskId
     is_done: bool = False
     failed_attempts: set[int] = attrs.field(factory=set)
+    crashed_attempts: set[int] = attrs.field(factory=set)
+    suspected_crashes: set[int] = attrs.field(factory=set)
     checkpoint: str = ""
     failed_on: set[str] = attrs.field(factory=set)
     run: Run | None = None
 
+    @property
+    def possible_crashes(self) -> set[int]:
+        """Numbers of the attempts that crashed their workers or may have."""
+        return self.crashed_attempts | self.suspected_crashes
+
 
 @attrs.define(eq=False)
 class StepState:
@@ -207,8 +225,10 @@
     :param has_started: whether any of its tasks was ever started.
     :param has_recorded_start: whether the store records that one of its tasks may have been
         started.
+    :param recorded_attempt: highest attempt number that this leader has recorded in the store.
     :param ended_at: time on the local clock, in seconds, at which its end was recorded in the
         store, or read from it by a new leader; ``inf`` before.
+    :param crash_suspects: its tasks that may crash their workers, until they have worked on one.
     """
 
     spec: Job
@@ -221,7 +241,9 @@
     is_recovered: bool = False
     has_started: bool = False
     has_recorded_start: bool = False
+    recorded_attempt: int = 0
     ended_at: float = math.inf
+    crash_suspects: set[TaskId] = attrs.field(factory=set)
 
     @property
     def steps(self) -> list[StepState]:
@@ -318,6 +340,8 @@
     :param drain_deadline: time on the local clock, in seconds, from which a draining worker may be
         gone, ``inf`` for one that is not draining.
     :param is_unreachable: whether the newest request to the worker failed.
+    :param silent_since: time on the local clock, in seconds, at which a request to it first failed
+        after it had responded; ``-inf`` before.
     :param runs: current runs by task and attempt number.
     :param free: resources that no run holds.
     """
@@ -341,6 +365,7 @@
     suspected_until: float = -math.inf
     drain_deadline: float = math.inf
     is_unreachable: bool = False
+    silent_since: float = -math.inf
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     free: Resources = attrs.field(
         default=attrs.Factory(lambda self: self.entry.capacity, takes_self=True)
@@ -351,6 +376,11 @@
         """Id of the worker."""
         return self.entry.id
 
+    @property
+    def latest_born(self) -> int:
+        """Unix time in milliseconds at which its newest known process started."""
+        return max(self.born, self.entry.born)
+
     def estimated_clock(self, now: float) -> int:
         """Return the worker's estimated clock in milliseconds.
 
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -3,8 +3,20 @@
 
 import pytest
 
-from jaypier.jobs.model import JobStatus, TaskId
-from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
+from jaypier.jobs.model import JobStatus, RunOutcome, StartResponse, TaskId
+from jaypier.jobs.progress import record_progress, restore_job
+from jaypier.jobs.rows import decode_progress, decode_worker_entry
+from jaypier.jobs.tests.builders import (
+    apply_report,
+    make_active_run,
+    make_cluster_state,
+    make_ended_run,
+    make_entry,
+    make_job,
+    make_planner,
+    make_step,
+    run_scenario,
+)
 
 
 def submit_deadly(harness, job):
@@ -195,3 +207,285 @@
                 await harness.wait_status(job, JobStatus.COMPLETED, 60)
 
         run_scenario(scenario, workers=5)
+
+
+class CrashCase:
+    """A started task on a worker whose machine is known."""
+
+    def __init__(self, workers=1, **values):
+        self.cluster_state = make_cluster_state(workers)
+        self.now = 0.0
+        for number, worker in enumerate(list(self.cluster_state.workers.values())):
+            entry = make_entry(worker.id, worker.entry.rack, machine=f"m-{number}")
+            self.cluster_state.register_worker(entry, 0.0)
+        self.crashes = self.cluster_state.crashes
+        self.job = make_job(**values)
+        self.planner = make_planner(self.cluster_state, self.job)
+        self.state = self.cluster_state.jobs[self.job.id]
+        self.task = self.state.steps[0].tasks[0]
+
+    def start(self):
+        """Start the task; the worker confirms it."""
+        (run,) = self.planner.plan(self.now, self.now).starts
+        self.cluster_state.apply_start_response(run, StartResponse.STARTED, self.now)
+        return run
+
+    def silence(self, worker):
+        self.now += 0.1
+        worker.is_unreachable = True
+        self.crashes.observe_silence(worker, self.now)
+
+    def return_machine(self, worker, worker_id):
+        """Register the next process of a worker's machine, under another id."""
+        self.now += 3.0
+        entry = make_entry(
+            worker_id, worker.entry.rack, machine=worker.entry.machine, born=worker.born + 1
+        )
+        successor = self.cluster_state.register_worker(entry, self.now)
+        successor.is_reconciled = True
+        return successor
+
+    def settle(self):
+        """Drop the workers whose processes have ended."""
+        ended = self.crashes.settle_ended_processes()
+        for worker in ended:
+            self.cluster_state.remove_worker(worker)
+        return ended
+
+    def expire_lease(self, worker):
+        self.now += 10.0
+        assert self.cluster_state.expire_leases(self.now) == [worker]
+
+
+class TestProof:
+    def test_next_process_of_the_machine_proves_the_crash(self):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        assert case.settle() == []
+        case.return_machine(run.worker, "worker-99")
+        assert case.settle() == [run.worker]
+        assert case.task.run is None
+        assert case.task.crashed_attempts == {1}
+        assert [crash.tasks for crash in case.crashes.crashes] == [[run.task]]
+
+    def test_worker_that_responds_has_not_ended(self):
+        case = CrashCase()
+        run = case.start()
+        case.return_machine(run.worker, "worker-99")
+        assert case.settle() == []
+        assert case.task.run is run
+
+    def test_older_process_of_the_machine_proves_nothing(self):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        entry = make_entry("worker-99", machine=run.worker.entry.machine, born=0)
+        case.cluster_state.register_worker(entry, 1.0)
+        assert case.settle() == []
+
+    @pytest.mark.parametrize("machine", ["", "m-1"])
+    def test_other_or_unknown_machine_proves_nothing(self, machine):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        case.cluster_state.register_worker(make_entry("worker-99", machine=machine, born=9), 1.0)
+        assert case.settle() == []
+
+    def test_restart_under_the_same_id_proves_the_crash(self):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        apply_report(case.cluster_state, run.worker, 3.0, born=2)
+        assert case.task.crashed_attempts == {1}
+
+    def test_run_started_by_the_new_process_is_not_blamed(self):
+        case = CrashCase()
+        run = case.start()
+        apply_report(case.cluster_state, run.worker, 0.5, [make_active_run(run.task)], born=2)
+        assert case.task.run is run
+        assert not case.task.crashed_attempts
+
+    @pytest.mark.parametrize("is_dropped", [False, True])
+    def test_proof_after_the_lease_has_expired_counts(self, is_dropped):
+        case = CrashCase(workers=2)
+        run = case.start()
+        case.silence(run.worker)
+        case.expire_lease(run.worker)
+        if is_dropped:
+            case.cluster_state.remove_worker(run.worker)
+        second = case.start()
+        assert second.worker is not run.worker
+        case.return_machine(run.worker, "worker-99")
+        case.settle()
+        assert case.task.crashed_attempts == {1}
+        assert case.task.run is second
+
+    def test_proof_after_the_task_has_worked_elsewhere_does_not_count(self):
+        case = CrashCase(workers=2)
+        first = case.start()
+        case.silence(first.worker)
+        case.expire_lease(first.worker)
+        second = case.start()
+        report = [make_active_run(second.task, second.attempt)]
+        apply_report(case.cluster_state, second.worker, case.now + 2.5, report)
+        case.return_machine(first.worker, "worker-99")
+        case.settle()
+        assert not case.state.crash_suspects
+
+    def test_silence_alone_is_withdrawn_when_the_worker_is_back(self):
+        case = CrashCase(workers=2)
+        run = case.start()
+        case.silence(run.worker)
+        case.expire_lease(run.worker)
+        assert case.state.crash_suspects == {run.task}
+        apply_report(case.cluster_state, run.worker, case.now)
+        assert not case.state.crash_suspects
+        assert not case.task.suspected_crashes
+
+    def test_draining_worker_that_leaves_has_not_crashed(self):
+        case = CrashCase()
+        run = case.start()
+        entry = make_entry(run.worker.id, is_ready=False, machine=run.worker.entry.machine)
+        case.cluster_state.register_worker(entry, 0.2)
+        case.silence(run.worker)
+        case.return_machine(run.worker, "worker-99")
+        assert case.settle() == [run.worker]
+        assert not case.state.crash_suspects
+        assert case.crashes.crashes == []
+
+    def test_run_that_has_worked_is_not_blamed(self):
+        case = CrashCase()
+        run = case.start()
+        apply_report(case.cluster_state, run.worker, 2.5, [make_active_run(run.task)])
+        case.silence(run.worker)
+        case.return_machine(run.worker, "worker-99")
+        case.settle()
+        assert not case.state.crash_suspects
+
+    def test_adopted_run_is_not_blamed(self):
+        case = CrashCase()
+        worker = case.cluster_state.workers["worker-00"]
+        task = TaskId(case.job.id, 0, 0, 0)
+        apply_report(case.cluster_state, worker, 0.1, [make_active_run(task)])
+        case.silence(worker)
+        case.return_machine(worker, "worker-99")
+        assert case.settle() == [worker]
+        assert not case.state.crash_suspects
+
+
+class TestGivingUp:
+    def crash_once(self, case, number, others=()):
+        run = case.start()
+        case.silence(run.worker)
+        for other in others:
+            case.crashes.observe_silence(other, case.now)
+        case.return_machine(run.worker, f"worker-9{number}")
+        case.settle()
+
+    def test_second_crash_gives_the_task_up(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        assert case.state.status is JobStatus.RUNNING
+        self.crash_once(case, 2)
+        assert case.state.status is JobStatus.FAILED
+        assert [each.task for each in case.crashes.given_up] == [case.task.id]
+        assert case.job.id in case.cluster_state.dirty_jobs
+
+    def test_crashes_together_with_other_workers_count_less(self):
+        case = CrashCase(workers=3)
+        idle = case.cluster_state.workers["worker-02"]
+        self.crash_once(case, 1, [idle])
+        self.crash_once(case, 2, [idle])
+        assert case.state.status is JobStatus.RUNNING
+        self.crash_once(case, 3, [idle])
+        assert case.state.status is JobStatus.FAILED
+
+    def test_machines_that_do_not_come_back_count_less(self):
+        case = CrashCase(workers=4)
+        for status in (JobStatus.RUNNING, JobStatus.RUNNING, JobStatus.FAILED):
+            run = case.start()
+            case.silence(run.worker)
+            case.expire_lease(run.worker)
+            case.cluster_state.remove_worker(run.worker)
+            assert case.state.status is status
+
+    @pytest.mark.parametrize(
+        ("crashes", "status"),
+        [([{1}, {2}, {3}], JobStatus.RUNNING), ([{1, 2}, {3}, set()], JobStatus.FAILED)],
+    )
+    def test_crashes_of_a_gang_count_together(self, crashes, status):
+        case = CrashCase()
+        gang = make_job(make_step(count=3, is_gang=True))
+        state = case.cluster_state.add_job(gang)
+        state.status = JobStatus.RUNNING
+        (step,) = state.steps
+        for task, attempts in zip(step.tasks, crashes, strict=True):
+            task.suspected_crashes = attempts
+        case.crashes.give_up_deadly_task(step, step.tasks[2])
+        assert state.status is status
+
+    def test_work_without_a_crash_clears_the_task(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        run = case.start()
+        report = [make_active_run(run.task, run.attempt)]
+        apply_report(case.cluster_state, run.worker, case.now + 2.5, report, born=2)
+        assert not case.task.crashed_attempts
+        assert not case.state.crash_suspects
+
+    def test_failure_by_itself_clears_the_task(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        run = case.start()
+        end = make_ended_run(1, run.task, RunOutcome.FAILED, run.attempt)
+        apply_report(case.cluster_state, run.worker, case.now + 0.5, ends=[end], born=2)
+        assert not case.task.crashed_attempts
+        assert len(case.task.failed_attempts) == 1
+
+    def test_crashes_survive_a_takeover(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        restored = restore_job(case.job, record_progress(case.state, 0.0))
+        assert restored.steps[0].tasks[0].crashed_attempts == {1}
+        assert restored.crash_suspects == {case.task.id}
+
+    def test_suspicion_is_recorded_before_the_machine_is_back(self):
+        case = CrashCase()
+        run = case.start()
+        case.cluster_state.dirty_jobs.clear()
+        case.silence(run.worker)
+        assert case.cluster_state.dirty_jobs == {case.job.id}
+        restored = restore_job(case.job, record_progress(case.state, 0.0))
+        assert restored.steps[0].tasks[0].suspected_crashes == {1}
+
+    def test_restored_task_with_too_many_crashes_is_given_up(self):
+        case = CrashCase()
+        case.task.suspected_crashes = {1, 2, 3}
+        cluster_state = make_cluster_state(1, epoch=2)
+        restored = restore_job(case.job, record_progress(case.state, 0.0))
+        cluster_state.insert_job(restored)
+        cluster_state.crashes.give_up_restored_tasks()
+        assert restored.status is JobStatus.FAILED
+
+
+class TestRowsOfEarlierVersions:
+    def test_progress_without_crashes_is_decoded(self):
+        row = {"queue": "q", "team": "t", "status": "running", "attempt": 3, "steps": [{}]}
+        restored = restore_job(make_job(), decode_progress(row))
+        assert not restored.crash_suspects
+
+    def test_worker_without_machine_is_decoded(self):
+        row = {
+            "id": "worker-00",
+            "service": "desk",
+            "address": {"host": "127.0.0.1", "port": 1},
+            "data_centre": "dc-a",
+            "rack": "rack-1",
+            "labels": [],
+            "capacity": {"processor_millis": 1, "memory_mb": 1, "accelerators": 1},
+            "is_ready": True,
+            "born": 1,
+            "clock": 0,
+        }
+        assert decode_worker_entry(row).machine == ""
