Keep jobs whose tasks may crash workers apart from others

Cause: after a first crash, a deadly task took others down with its next worker, they were suspected as well, and a wide job crashed all workers again. Change: a job with a suspected task uses workers without runs of other jobs, which get no others until its runs there have worked for 2 s. If there is none, the worker that is idle first is held as for a gang; after 10 s the job also uses workers whose other runs have worked for 2 s. It starts on one worker at a time (a gang on all that it needs) and preempts nothing.

--- a/src/jaypier/jobs/holding.py
+++ b/src/jaypier/jobs/holding.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from jaypier.jobs.isolation import tasks_to_hold_for
 from jaypier.jobs.preemption import Fit, earliest_fit
 from jaypier.jobs.state import StepState, Worker
 
@@ -57,7 +58,8 @@
             is_waiting = step.is_startable and step.waiting and not step.job.status.is_final
             if not is_waiting or not hold.workers <= usable.keys():
                 continue
-            fit = earliest_fit(step, [usable[worker_id] for worker_id in hold.workers], (), now)
+            held = [usable[worker_id] for worker_id in hold.workers]
+            fit = earliest_fit(step, held, (), now, tasks_to_hold_for(step))
             if fit is not None and now + fit.seconds <= hold.give_up_at:
                 hold.fits_at = now + fit.seconds
                 kept[step] = hold
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -15,6 +15,7 @@
 from jaypier.jobs.cluster_state import ClusterState
 from jaypier.jobs.headroom import Headroom
 from jaypier.jobs.holding import MAX_HOLD_SHARE, GangHolds
+from jaypier.jobs.isolation import Isolation, earliest_idle
 from jaypier.jobs.model import URGENT_PRIORITY, Job, JobStatus, Resources
 from jaypier.jobs.placement import (
     FreeResourcesOf,
@@ -80,6 +81,7 @@
     :ivar holds: workers held for waiting gangs; other tasks only start there if they are expected
         to end before the gang can start.
     :ivar headroom: workers that are kept free for urgent jobs.
+    :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     """
 
@@ -94,6 +96,7 @@
         self.valuation = Valuation(values or ValueSettings())
         self.holds = GangHolds()
         self.headroom = Headroom()
+        self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
 
@@ -130,6 +133,7 @@
             return Plan([], [])
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
+        self.isolation.refresh(self.cluster_state.jobs.values(), now)
         unplaceable: dict[tuple, int] = {}
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
@@ -141,17 +145,20 @@
                     continue
                 signature = self.signature(step)
                 is_urgent = state.spec.priority == URGENT_PRIORITY
+                is_suspected = bool(state.crash_suspects)
                 if step.spec.count < unplaceable.get(signature, math.inf):
                     started = self.place_step(step, workers, now)
                     starts += started
+                    self.isolation.observe_starts(started)
                     if not step.waiting:
                         self.holds.release(step)
                         continue
                     if not started:
                         unplaceable[signature] = step.spec.count if step.spec.is_gang else 0
-                        if step.spec.is_gang and not is_urgent:
-                            self.hold_workers_for_gang(step, workers, now)
-                may_preempt = is_urgent and not step.runs and not self.has_reservation(step)
+                        if is_suspected or (step.spec.is_gang and not is_urgent):
+                            self.hold_workers(step, workers, now)
+                has_no_room = not step.runs and not self.has_reservation(step)
+                may_preempt = is_urgent and has_no_room and not is_suspected
                 if may_preempt and preempting_steps < MAX_PREEMPTING_STEPS:
                     preempting_steps += 1
                     stops += self.make_room(step, workers, now, wall_time)
@@ -166,11 +173,12 @@
 
         If a gang does not fit, no gang with the same signature and at least as many tasks does. If
         not even one task of another step fits, none of any step with the same signature does. A
-        step with a reservation, a hold or failed tasks has a signature of its own, because its
-        candidate workers or their free resources differ from those of other steps.
+        step with a reservation, a hold or failed tasks, or of a job that may crash its workers, has
+        a signature of its own, because its candidate workers or their free resources differ from
+        those of other steps.
         """
         has_reservation = self.has_reservation(step)
-        is_retry = any(task.failed_on for task in step.tasks)
+        is_retry = any(task.failed_on for task in step.tasks) or bool(step.job.crash_suspects)
         return (
             step.spec.demand,
             step.spec.label,
@@ -300,9 +308,10 @@
         """
         free_of = self.free_resources_for(step)
         candidates = self.candidate_workers(step, workers, now)
+        permitted = self.isolation.permitted(step, candidates)
         if step.spec.is_gang:
             failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
-            choices = self.choices_for(candidates, failed_on, now)
+            choices = self.choices_for(permitted, failed_on, now)
             placements = (place_gang(step.spec, each, free_of, candidates) for each in choices)
             chosen = next((placed for placed in placements if placed), [])
             if not chosen:
@@ -312,7 +321,9 @@
                 self.cluster_state.assign_task(step, task, worker, attempt, now)
                 for task, worker in zip(step.tasks, chosen, strict=True)
             ]
-        return self.place_independent_tasks(step, candidates, free_of, now)
+        if step.job.crash_suspects:
+            permitted = self.isolation.trial_workers(step, permitted, free_of)
+        return self.place_independent_tasks(step, permitted, free_of, now)
 
     def candidate_workers(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Return the workers that a step may use.
@@ -346,11 +357,15 @@
         slots = sum(max_tasks_on(step.spec, each, each.entry.capacity) for each in workers)
         return slots >= step.spec.count
 
-    def hold_workers_for_gang(self, step: StepState, workers: list[Worker], now: float) -> None:
-        """Hold the workers on which a waiting gang fits earliest, unless it has a hold already.
+    def hold_workers(self, step: StepState, workers: list[Worker], now: float) -> None:
+        """Hold the workers on which a waiting step fits earliest, unless it has a hold already.
 
         :param now: time on the local clock, in seconds.
         """
+        if self.isolation.has_trial(step.job):
+            return
+        if step.job.crash_suspects:
+            self.isolation.observe_wait(step.job, now)
         is_limit_reached = len(self.holds.until) >= MAX_HOLD_SHARE * len(workers)
         if is_limit_reached or step in self.holds.holds:
             return
@@ -361,12 +376,15 @@
     def find_earliest_fit(self, step: StepState, workers: list[Worker], now: float) -> Fit | None:
         """Return when and where a step fits as current runs end, on workers that are not held.
 
+        A step of a job that may crash its workers fits on idle workers only.
+
         :param now: time on the local clock, in seconds.
         """
         usable = self.permitted_workers(step, workers)
         is_local = step.spec.is_rack_local and can_fit_one_rack(step.spec, usable)
         groups = group_by_rack(usable).values() if is_local else [usable]
-        fits = [earliest_fit(step, group, self.holds.until, now) for group in groups]
+        find = earliest_idle if step.job.crash_suspects else earliest_fit
+        fits = [find(step, group, self.holds.until, now) for group in groups]
         return min(
             (fit for fit in fits if fit is not None), key=lambda fit: fit.seconds, default=None
         )
@@ -378,7 +396,9 @@
 
         :param now: time on the local clock, in seconds.
         """
-        never_failed = [task for task in step.waiting if not task.failed_on]
+        suspects = step.job.crash_suspects
+        waiting = sorted(step.waiting, key=lambda task: task.id not in suspects)
+        never_failed = [task for task in waiting if not task.failed_on]
         chosen = assign_in_order(
             slots_by_fit(step.spec, candidates, free_of, self.tasks_per_worker(step)),
             len(never_failed),
@@ -458,7 +478,7 @@
         :param now: time on the local clock, in seconds.
         """
         free_of = self.free_resources_for(step)
-        candidates = self.candidate_workers(step, workers, now)
+        candidates = self.isolation.permitted(step, self.candidate_workers(step, workers, now))
         groups = group_by_rack(candidates).values() if step.spec.is_rack_local else [candidates]
         options = [
             cheapest_preemption(step, group, free_of, self.restore_seconds, now) for group in groups
--- a/src/jaypier/jobs/preemption.py
+++ b/src/jaypier/jobs/preemption.py
@@ -53,15 +53,21 @@
 
 
 def earliest_fit(
-    step: StepState, workers: Iterable[Worker], held: Collection[str], now: float
+    step: StepState,
+    workers: Iterable[Worker],
+    held: Collection[str],
+    now: float,
+    count: int | None = None,
 ) -> Fit | None:
-    """Return when and where all tasks of a step fit as current runs end.
+    """Return when and where the tasks of a step fit as current runs end.
 
     Returns ``None`` if they do not fit even when all current runs have ended.
 
     :param held: ids of workers to leave out.
     :param now: time on the local clock, in seconds.
+    :param count: number of tasks that have to fit, ``None`` for all of the step.
     """
+    count = step.spec.count if count is None else count
     slots: list[tuple[float, str]] = []
     for worker in workers:
         if worker.id in held:
@@ -75,9 +81,9 @@
             more = max_tasks_on(step.spec, worker, free)
             slots += [(seconds, worker.id)] * (more - copies)
             copies = max(copies, more)
-    if len(slots) < step.spec.count:
+    if len(slots) < count:
         return None
-    chosen = sorted(slots)[: step.spec.count]
+    chosen = sorted(slots)[:count]
     return Fit(chosen[-1][0], frozenset(worker_id for _, worker_id in chosen))
 
 
