Fuzz: jobs that crash their workers, and workers that change their ids

Seeds 3000 on add deadly jobs and crashed workers whose machines come back under other ids to the faults there were; the draws of all other seeds stay as they are. A job may only fail if two workers crashed under one of its tasks, and a deadly job never completes.

--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from jaypier.jobs.model import Job
+from jaypier.jobs.model import Job, JobStatus
 from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step
 from standins.cluster import MemoryCluster, MemoryStore
 from standins.virtual_time import run_in_virtual_time
@@ -27,6 +27,10 @@
 SCHEDULE_SEEDS = range(2000, 2012)
 """Seeds that add to all of that repeating jobs, long-running tasks and wrong clocks."""
 
+DEADLY_SEEDS = range(3000, 3016)
+"""Seeds that add to all of that jobs that crash their workers, and crashed workers that come back
+under other ids."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -55,6 +59,7 @@
         self.long_running_ids: list[str] = []
         self.has_operators = seed >= OPERATOR_SEEDS.start
         self.has_schedules = seed >= SCHEDULE_SEEDS.start
+        self.has_deadly_jobs = seed >= DEADLY_SEEDS.start
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -81,6 +86,8 @@
         ]
         if self.has_operators:
             faults += [self.evacuate_data_centre, self.drain_worker]
+        if self.has_deadly_jobs:
+            faults += [self.replace_worker]
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -94,6 +101,7 @@
             self.cluster.cancel(job_id)
         await self.wait_for_jobs()
         await self.harness.close()
+        self.check_failed_jobs()
         assert not self.cluster.violations, self.cluster.violations[:5]
 
     async def wait_for_jobs(self) -> None:
@@ -105,6 +113,17 @@
             await asyncio.sleep(0.5)
             unfinished = [job for job in unfinished if not self.is_final(job)]
 
+    def check_failed_jobs(self) -> None:
+        """Check that jobs failed only if two workers crashed under a task; no run fails itself."""
+        deadly = self.cluster.deadly
+        crashed = {task.job_id for task, count in deadly.crash_counts.items() if count >= 2}
+        for job in self.jobs:
+            status = self.harness.status(job)
+            if status is JobStatus.FAILED and job.id not in crashed:
+                self.cluster.violations.append(f"{job.id} failed without cause")
+            if status is JobStatus.COMPLETED and job.id in {task.job_id for task in deadly.tasks}:
+                self.cluster.violations.append(f"{job.id} completed, although it is deadly")
+
     def is_final(self, job) -> bool:
         status = self.harness.status(job)
         return status is not None and status.is_final
@@ -141,6 +160,8 @@
             )
         if self.has_schedules and job.is_repeatable and self.rng.random() < 0.5:
             job = self.add_schedule_or_long_run(job)
+        if self.has_deadly_jobs and self.rng.random() < 0.15:
+            self.cluster.deadly.add_job(job)
         self.cluster.submit(job)
         self.jobs.append(job)
 
@@ -219,6 +240,14 @@
             await asyncio.sleep(1.0)
         worker.restart()
 
+    async def replace_worker(self) -> None:
+        worker = self.pick_worker()
+        if not worker.is_up:
+            return
+        worker.crash()
+        await self.pause()
+        self.cluster.deadly.replace_worker(worker)
+
     async def delay_worker_requests(self) -> None:
         worker = self.pick_worker()
         worker.late_request_probability = 0.3
@@ -257,7 +286,10 @@
 
 
 class TestFuzz:
-    @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSION_SEEDS, *OPERATOR_SEEDS, *SCHEDULE_SEEDS])
+    @pytest.mark.parametrize(
+        "seed",
+        [*SEEDS, *REGRESSION_SEEDS, *OPERATOR_SEEDS, *SCHEDULE_SEEDS, *DEADLY_SEEDS],
+    )
     def test_invariants_hold_under_random_faults(self, seed):
         run_seed(seed)
 
--- a/standins/crashes.py
+++ b/standins/crashes.py
@@ -47,9 +47,10 @@
         self.return_seconds = RETURN_SECONDS
 
     def add_job(self, job: Job) -> None:
-        """Make all tasks of a job that runs once deadly."""
+        """Make all tasks of a job deadly."""
         self.tasks |= {
-            TaskId(job.id, 0, number, index)
+            TaskId(job.id, occurrence, number, index)
+            for occurrence in range(max(1, job.repeats))
             for number, step in enumerate(job.steps)
             for index in range(step.count)
         }
