Count placed tasks when a suspected step chooses its next worker

Cause: the choice of the next worker ignored the limit, so it fell on a worker that was full for the step in each pass.

--- a/src/jaypier/jobs/isolation.py
+++ b/src/jaypier/jobs/isolation.py
@@ -1,5 +1,6 @@
 """Isolation of jobs that may crash their workers, so that no other job suffers or is blamed."""
 
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from jaypier.jobs.placement import FreeResourcesOf, max_tasks_on, slots_by_fit
@@ -88,7 +89,11 @@
         return [worker for worker in workers if self.may_use(step, worker)]
 
     def trial_workers(
-        self, step: StepState, workers: list[Worker], free_of: FreeResourcesOf
+        self,
+        step: StepState,
+        workers: list[Worker],
+        free_of: FreeResourcesOf,
+        placed: Counter[str],
     ) -> list[Worker]:
         """Return the worker for the next tasks of a suspected step that is not a gang.
 
@@ -96,10 +101,11 @@
 
         :param workers: workers on which its tasks may start.
         :param free_of: returns the resources of a worker that the step may use.
+        :param placed: number of its tasks on each worker, by id of the worker.
         """
         if self.has_trial(step.job):
             return [worker for worker in workers if self.owners.get(worker.id) is step.job]
-        return [slots.worker for slots in slots_by_fit(step.spec, workers, free_of)[:1]]
+        return [slots.worker for slots in slots_by_fit(step.spec, workers, free_of, placed)[:1]]
 
     def has_trial(self, job: JobState) -> bool:
         """Whether runs of a suspected job have just started."""
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -327,7 +327,8 @@
                 for task, worker in zip(step.tasks, chosen, strict=True)
             ]
         if step.job.crash_suspects:
-            permitted = self.isolation.trial_workers(step, permitted, free_of)
+            placed = self.tasks_per_worker(step)
+            permitted = self.isolation.trial_workers(step, permitted, free_of, placed)
         return self.place_independent_tasks(step, permitted, free_of, now)
 
     def candidate_workers(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
--- a/src/jaypier/jobs/tests/test_isolation.py
+++ b/src/jaypier/jobs/tests/test_isolation.py
@@ -57,6 +57,19 @@
         assert len(planner.plan(2.5, 2.5).starts) == 1
         assert not suspected.crash_suspects
 
+    def test_suspected_step_with_a_limit_per_worker_uses_further_workers(self):
+        cluster_state = make_cluster_state(3)
+        planner = make_planner(cluster_state)
+        state = add_job(planner, make_job(make_step(count=3, seconds=60.0, max_per_worker=1)))
+        suspect(state)
+        for now in (0.0, 3.0, 6.0):
+            (run,) = planner.plan(now, now).starts
+            confirm(cluster_state, [run], now)
+            report = [make_active_run(run.task, run.attempt)]
+            apply_report(cluster_state, run.worker, now + 2.5, report)
+            suspect(state)
+        assert len({run.worker.id for run in state.runs}) == 3
+
     def test_suspected_urgent_job_preempts_nothing(self):
         cluster_state = make_cluster_state(1)
         planner = make_planner(
