Believe the end of a process only from a worker that has reported since

What callers could see: a task runs twice (TWICE). An entry alone, also of an unknown service or with a clock that was set back, declared a live worker's process ended after one failed poll (found in review, at state level). Change: the next process has to have reported to this leader, after the older one fell silent, from the same data centre and rack; without that, the lease ends first as before. Evidence: five new tests, which failed before, pass with the others of test_crashes.

--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -270,7 +270,7 @@
         for worker_id, process in list(self.silent.items()):
             successor = newest.get(process.machine)
             is_gone = worker_id not in workers
-            if is_gone and successor is not None and successor.latest_born > process.born:
+            if is_gone and successor is not None and successor.born > process.born:
                 self.record_crash(worker_id, process)
         return ended
 
@@ -333,11 +333,16 @@
 
 
 def newest_by_machine(workers: Iterable[Worker]) -> dict[str, Worker]:
-    """Return the worker with the newest process of each machine that is named by an entry."""
+    """Return the worker with the newest process of each machine, among those that have reported.
+
+    An entry alone proves nothing: it may come from another writer than the worker.
+    """
     newest: dict[str, Worker] = {}
     for worker in workers:
         machine = worker.entry.machine
-        if machine and (machine not in newest or worker.latest_born > newest[machine].latest_born):
+        if not machine or math.isinf(worker.last_report_at):
+            continue
+        if machine not in newest or worker.born > newest[machine].born:
             newest[machine] = worker
     return newest
 
@@ -345,8 +350,13 @@
 def has_ended(worker: Worker, newest: dict[str, Worker]) -> bool:
     """Whether the process of a worker that does not respond has been followed by another one.
 
+    The other one has reported since, from the same place.
+
     :param newest: worker with the newest process by machine.
     """
     successor = newest.get(worker.entry.machine)
-    is_older = successor is not None and worker.latest_born < successor.latest_born
-    return worker.is_unreachable and is_older
+    if successor is None or not worker.is_unreachable:
+        return False
+    place, other_place = ((each.entry.data_centre, each.entry.rack) for each in (worker, successor))
+    is_later = successor.born > worker.latest_born
+    return is_later and successor.last_report_at > worker.silent_since and place == other_place
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -242,7 +242,7 @@
             worker_id, worker.entry.rack, machine=worker.entry.machine, born=worker.born + 1
         )
         successor = self.cluster_state.register_worker(entry, self.now)
-        successor.is_reconciled = True
+        apply_report(self.cluster_state, successor, self.now, born=entry.born)
         return successor
 
     def settle(self):
@@ -269,6 +269,39 @@
         assert case.task.crashed_attempts == {1}
         assert [crash.tasks for crash in case.crashes.crashes] == [[run.task]]
 
+    @pytest.mark.parametrize("values", [{}, {"service": "other"}])
+    def test_entry_without_a_report_proves_nothing(self, values):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        machine = run.worker.entry.machine
+        entry = make_entry("worker-99", run.worker.entry.rack, machine=machine, born=9, **values)
+        case.cluster_state.register_worker(entry, 1.0)
+        assert case.settle() == []
+        assert case.task.run is run
+
+    @pytest.mark.parametrize("values", [{"rack": "rack-9"}, {"data_centre": "dc-z"}])
+    def test_worker_at_another_place_proves_nothing(self, values):
+        case = CrashCase()
+        run = case.start()
+        case.silence(run.worker)
+        machine = run.worker.entry.machine
+        values = {"rack": run.worker.entry.rack, **values}
+        entry = make_entry("worker-99", machine=machine, born=9, **values)
+        successor = case.cluster_state.register_worker(entry, 1.0)
+        apply_report(case.cluster_state, successor, 1.0, born=9)
+        assert case.settle() == []
+        assert case.task.run is run
+
+    def test_silent_process_does_not_prove_that_an_earlier_one_has_ended(self):
+        case = CrashCase()
+        run = case.start()
+        successor = case.return_machine(run.worker, "worker-99")
+        case.silence(run.worker)
+        case.silence(successor)
+        assert case.settle() == []
+        assert case.task.run is run
+
     def test_worker_that_responds_has_not_ended(self):
         case = CrashCase()
         run = case.start()
