Give up by suspicions of earlier leaders only at four of them

What callers could see: an innocent job shown as failed. Each partition within 2 s of a start that a takeover follows leaves a suspicion in the job's row, which the next leader can neither prove nor withdraw; three of them, with no crash at all, failed the job (found in review, at state level). Change: such suspicions isolate the job, but only four possible crashes in all give it up; certain ones, and three under one leader, count as before.

--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -29,6 +29,10 @@
 """The same if uncertain crashes count as well: those of workers that have not come back, or that
 became silent together with others."""
 
+MAX_POSSIBLE_CRASHES = 4
+"""The same if suspicions of earlier leaders count as well. The users' rules allow two starts after
+the third crash."""
+
 COINCIDENCE_SECONDS = 1.0
 """Time between the silences of two workers up to which they may have the same cause: the time
 between two reports, after which the end of a worker is noticed."""
@@ -202,6 +206,7 @@
             self.cluster_state.dirty_jobs.add(task_id.job_id)
         task.crashed_attempts.clear()
         task.suspected_crashes.clear()
+        task.restored_suspicions = frozenset()
         step.job.crash_suspects.discard(task_id)
 
     def observe_end(self, end: EndedRun) -> None:
@@ -320,15 +325,19 @@
         if step.job.status.is_final:
             return
         members = step.tasks if step.spec.is_gang else [task]
-        attempts = set().union(*(each.possible_crashes for each in members))
+        attempts = set().union(
+            *(each.crashed_attempts | each.suspected_crashes for each in members)
+        )
         for member in members:
-            own = len(member.possible_crashes)
+            crashes, possible = len(member.crashed_attempts), len(member.possible_crashes)
+            own = len(member.crashed_attempts | member.suspected_crashes)
             total = len(attempts) if own >= MAX_CRASHES else own
-            crashes = len(member.crashed_attempts)
-            if crashes >= MAX_CRASHES or total >= MAX_SUSPECTED_CRASHES:
+            is_deadly = crashes >= MAX_CRASHES or total >= MAX_SUSPECTED_CRASHES
+            if is_deadly or possible >= MAX_POSSIBLE_CRASHES:
                 step.job.status = JobStatus.FAILED
                 self.cluster_state.dirty_jobs.add(task.id.job_id)
-                self.given_up.append(GivenUpTask(member.id, crashes, total - crashes))
+                uncertain = max(total, possible) - crashes
+                self.given_up.append(GivenUpTask(member.id, crashes, uncertain))
                 return
 
 
--- a/src/jaypier/jobs/progress.py
+++ b/src/jaypier/jobs/progress.py
@@ -101,9 +101,9 @@
             if task.crashed_attempts and not task.is_done
         },
         suspected_crashes={
-            task.id.index: sorted(task.suspected_crashes)
+            task.id.index: sorted(task.suspected_crashes | task.restored_suspicions)
             for task in step.tasks
-            if task.suspected_crashes and not task.is_done
+            if task.suspected_crashes | task.restored_suspicions and not task.is_done
         },
     )
 
@@ -151,7 +151,7 @@
         task.is_done = recorded.is_done or bool(done >> index & 1)
         task.failed_attempts = set(recorded.failures.get(index, ()))
         task.crashed_attempts = set(recorded.crashes.get(index, ()))
-        task.suspected_crashes = set(recorded.suspected_crashes.get(index, ()))
+        task.restored_suspicions = frozenset(recorded.suspected_crashes.get(index, ()))
         if task.possible_crashes:
             step.job.crash_suspects.add(task.id)
         task.checkpoint = recorded.checkpoints.get(0 if step.spec.is_gang else index, "")
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -120,6 +120,8 @@
     :param crashed_attempts: numbers of the attempts that crashed their workers.
     :param suspected_crashes: numbers of those that may have: their workers have not come back, or
         became silent together with others.
+    :param restored_suspicions: the same for attempts under earlier leaders, which this one can
+        neither prove nor withdraw.
     :param checkpoint: newest known checkpoint, empty for none.
     :param failed_on: ids of the workers that the next start avoids: those on which the task failed,
         or from which it was moved.
@@ -131,6 +133,7 @@
     failed_attempts: set[int] = attrs.field(factory=set)
     crashed_attempts: set[int] = attrs.field(factory=set)
     suspected_crashes: set[int] = attrs.field(factory=set)
+    restored_suspicions: frozenset[int] = frozenset()
     checkpoint: str = ""
     failed_on: set[str] = attrs.field(factory=set)
     run: Run | None = None
@@ -138,7 +141,7 @@
     @property
     def possible_crashes(self) -> set[int]:
         """Numbers of the attempts that crashed their workers or may have."""
-        return self.crashed_attempts | self.suspected_crashes
+        return self.crashed_attempts | self.suspected_crashes | self.restored_suspicions
 
 
 @attrs.define(eq=False)
