Bound the open tasks of a job, not only its occurrences

A job of 20,000 tasks that repeats without a pause opened 32 occurrences at once: 640,000 tasks, 698 MB and 8.4 s of a blocked loop (measured in review); the next leader opens the same. Change: further occurrences open only while the job's open tasks stay within 20,000.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -53,6 +53,10 @@
 """Maximum number of open occurrences of one job. It bounds memory and the size of the job's
 progress row when a job falls behind its schedule."""
 
+MAX_OPEN_TASKS = 20_000
+"""Maximum number of tasks in the open occurrences of one job beyond the first one: about 25 MB of
+the leader's memory."""
+
 ATTEMPTS_PER_EPOCH = 64
 """Number of attempt numbers reserved for each epoch, so that two leaders never use the same one."""
 
@@ -205,9 +209,11 @@
             for number, steps in list(state.occurrences.items()):
                 if all(step.is_done and not step.runs for step in steps):
                     del state.occurrences[number]
+            tasks = sum(step.count for step in state.spec.steps)
+            limit = min(MAX_OPEN_OCCURRENCES, max(1, MAX_OPEN_TASKS // tasks))
             while (
                 state.next_occurrence < state.spec.repeats
-                and len(state.occurrences) < MAX_OPEN_OCCURRENCES
+                and len(state.occurrences) < limit
                 and state.spec.earliest_start_at(state.next_occurrence) <= wall_time
             ):
                 state.open_occurrence(state.next_occurrence)
--- a/src/jaypier/jobs/tests/test_occurrences.py
+++ b/src/jaypier/jobs/tests/test_occurrences.py
@@ -1,6 +1,6 @@
 """Jobs that run repeatedly on a schedule."""
 
-from jaypier.jobs.cluster_state import MAX_OPEN_OCCURRENCES
+from jaypier.jobs.cluster_state import MAX_OPEN_OCCURRENCES, MAX_OPEN_TASKS
 from jaypier.jobs.model import JobStatus
 from jaypier.jobs.progress import record_progress, restore_job
 from jaypier.jobs.tests.builders import (
@@ -65,6 +65,20 @@
 
         run_scenario(scenario)
 
+    def test_open_tasks_of_late_job_are_bounded(self):
+        cluster_state = make_cluster_state(1)
+        step = make_step(count=MAX_OPEN_TASKS // 4)
+        state = cluster_state.add_job(make_job(step, repeats=1000, first_start_at=0.0))
+        cluster_state.open_due_occurrences(1e9)
+        assert sum(len(step.tasks) for step in state.steps) == MAX_OPEN_TASKS
+
+    def test_occurrence_of_any_size_is_opened(self):
+        cluster_state = make_cluster_state(1)
+        step = make_step(count=2 * MAX_OPEN_TASKS)
+        state = cluster_state.add_job(make_job(step, repeats=1000, first_start_at=0.0))
+        cluster_state.open_due_occurrences(1e9)
+        assert len(state.occurrences) == 1
+
     def test_open_occurrences_of_late_job_are_bounded(self):
         cluster_state = make_cluster_state(1)
         state = cluster_state.add_job(
