Judge the crashes under a task by its own attempts and by current silences

What callers could see: a job kept apart from others for ever, crashes that are forgotten, or a crash with a shared cause taken for a certain one (found in review). Causes: a task that was done could become a suspect, an end reported again erased the crashes of later attempts, and the time of an earlier silence stayed when a worker responded again.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -425,6 +425,7 @@
                 self.mark_run_lost(run)
         worker.born = report.born
         self.crashes.observe_report(worker, has_restarted)
+        worker.silent_since = -math.inf
         update_slow_worker(worker, self.estimate_accuracy, now)
         return new_ends, unknown
 
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -136,7 +136,7 @@
     def suspect(self, run: Run) -> None:
         """Suspect a run of having crashed its worker."""
         found = self.cluster_state.find_task(run.task)
-        if found is not None:
+        if found is not None and not found[1].is_done:
             step, task = found
             task.suspected_crashes.add(run.attempt)
             step.job.crash_suspects.add(run.task)
@@ -194,20 +194,24 @@
         if is_waiting or now - run.reports_conclusive_after < PROBATION_SECONDS:
             return
         run.is_on_probation = False
-        self.clear_task(run.task)
+        self.clear_task(run.task, run.attempt)
 
-    def clear_task(self, task_id: TaskId) -> None:
-        """Forget the crashes under a task that has worked, or failed by itself, without one."""
+    def clear_task(self, task_id: TaskId, attempt: int) -> None:
+        """Forget the earlier crashes under a task that has worked, or failed by itself.
+
+        :param attempt: number of this attempt; reports of ended runs may be older than a crash.
+        """
         found = self.cluster_state.find_task(task_id)
         if found is None:
             return
         step, task = found
         if task.possible_crashes:
             self.cluster_state.dirty_jobs.add(task_id.job_id)
-        task.crashed_attempts.clear()
-        task.suspected_crashes.clear()
-        task.restored_suspicions = frozenset()
-        step.job.crash_suspects.discard(task_id)
+        task.crashed_attempts -= {each for each in task.crashed_attempts if each <= attempt}
+        task.suspected_crashes -= {each for each in task.suspected_crashes if each <= attempt}
+        task.restored_suspicions -= {each for each in task.restored_suspicions if each <= attempt}
+        if not task.possible_crashes:
+            step.job.crash_suspects.discard(task_id)
 
     def observe_end(self, end: EndedRun) -> None:
         """Settle the suspicion against a run whose worker has reported its end, so did not crash.
@@ -215,7 +219,7 @@
         A run that was ended early may not have worked yet, so that earlier crashes still count.
         """
         if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED):
-            self.clear_task(end.task)
+            self.clear_task(end.task, end.attempt)
         else:
             self.withdraw_suspicion(end.task, end.attempt)
 
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -467,6 +467,33 @@
         assert not case.task.crashed_attempts
         assert not case.state.crash_suspects
 
+    def test_repeated_end_of_an_earlier_attempt_does_not_clear_the_task(self):
+        case = CrashCase(workers=2)
+        self.crash_once(case, 1)
+        worker = next(iter(case.cluster_state.workers.values()))
+        end = make_ended_run(1, case.task.id, RunOutcome.FAILED, 0)
+        apply_report(case.cluster_state, worker, case.now, ends=[end], born=worker.born)
+        assert case.task.crashed_attempts == {1}
+        assert case.state.crash_suspects == {case.task.id}
+
+    def test_task_that_is_done_is_not_suspected(self):
+        case = CrashCase()
+        run = case.start()
+        case.cluster_state.finish_task(run.step, case.task)
+        case.silence(run.worker)
+        assert not case.state.crash_suspects
+
+    def test_earlier_silence_of_a_worker_that_responds_again_does_not_count(self):
+        case = CrashCase()
+        worker = case.cluster_state.workers["worker-00"]
+        case.silence(worker)
+        apply_report(case.cluster_state, worker, 1.0)
+        case.now = 5.0
+        run = case.start()
+        apply_report(case.cluster_state, worker, 5.5, born=2)
+        assert case.task.crashed_attempts == set()
+        assert case.state.crash_suspects == {run.task}
+
     def test_failure_by_itself_clears_the_task(self):
         case = CrashCase()
         self.crash_once(case, 1)
