Fuzz seed 3156: crashes that no leader lives to notice

Trace: each of five leaders starts the gang and ends before it notices that its worker has crashed; the fourth start is the first whose crash is counted.

--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -35,7 +35,7 @@
 """Seeds that add to all of that, instead of changes of capacity, jobs that crash their workers, and
 crashed workers that come back under other ids."""
 
-DEADLY_REGRESSION_SEEDS = (3024, 3042, 3059, 3067, 3085, 3184)
+DEADLY_REGRESSION_SEEDS = (3024, 3042, 3059, 3067, 3085, 3156, 3184)
 """Seeds that failed before: a job failed after one crash (3024), or crashes were not counted, since
 the leader had changed or was without the store, or other tasks of a gang had crashed."""
 
