Stop preempted runs in the order in which they were chosen

Cause: the runs to stop were kept in a set of objects, whose order depends on memory addresses; so the fuzz seeds did not take the same course each time. Change: the order of choice, for the same runs.

--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -497,11 +497,11 @@
         if cheapest is None:
             return []
         self.reservations.append(Reservation(step, cheapest.reserved, now + RESERVATION_SECONDS))
-        to_stop = {
+        to_stop = dict.fromkeys(
             each
             for run in cheapest.victims
             for each in (run.step.runs if run.step.spec.is_gang else [run])
-        }
+        )
         return [run for run in to_stop if self.cluster_state.mark_stopping(run)]
 
     # Statistics
