--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -284,6 +284,26 @@
         run_scenario(scenario)
 
 
+class TestPreemption:
+    def test_run_that_is_preempted_before_its_start_is_sent_frees_its_worker_at_once(self):
+        async def scenario(harness):
+            await harness.start_job(make_job(make_step(seconds=60.0)), 1, 5)
+            await asyncio.sleep(3.0)
+            leader = harness.leaders[harness.leader_name]
+            (worker,) = leader.cluster_state.workers.values()
+            free = worker.free
+            state = leader.cluster_state.add_job(make_job(make_step(accelerators=4)))
+            (step,), now = state.steps, harness.clock.now()
+            run = leader.cluster_state.assign_task(step, step.tasks[0], worker, 1, now)
+            leader.cluster_state.mark_stopping(run)
+            leader.stop_runs([run], "preempted")
+            leader.spawn(leader.start_run(run), "start")
+            await asyncio.sleep(0.5)
+            assert worker.free == free
+
+        run_scenario(scenario, workers=1)
+
+
 class TestWorkerFaults:
     @pytest.mark.parametrize("is_gang", [True, False])
     def test_work_leaves_a_worker_that_hangs(self, is_gang):
