--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -156,7 +156,7 @@
         if run.is_on_probation:
             self.suspect(run)
             self.remember_lost_run(run)
-            self.give_up_deadly_task(*found)
+            self.give_up_crashing_task(*found)
 
     def remember_lost_run(self, run: Run) -> None:
         """Remember a lost run until it is known whether its worker's process has ended."""
@@ -178,7 +178,7 @@
             for task_id in list(state.crash_suspects):
                 found = self.cluster_state.find_task(task_id)
                 if found is not None and found[1].run is None:
-                    self.give_up_deadly_task(*found)
+                    self.give_up_crashing_task(*found)
 
     def observe_work(self, run: Run, now: float) -> None:
         """Withdraw the suspicion against a reported run; end its probation if it worked for long.
@@ -304,7 +304,7 @@
             step.job.crash_suspects.add(task_id)
             self.cluster_state.dirty_jobs.add(task_id.job_id)
             blamed.append(task_id)
-            self.give_up_deadly_task(step, task)
+            self.give_up_crashing_task(step, task)
         self.crashes.append(WorkerCrash(worker_id, process.machine, process.born, blamed))
 
     def is_alone(self, worker_id: str, process: SilentProcess, job_id: str) -> bool:
@@ -319,7 +319,7 @@
             for silence in self.silences
         )
 
-    def give_up_deadly_task(self, step: StepState, task: TaskState) -> None:
+    def give_up_crashing_task(self, step: StepState, task: TaskState) -> None:
         """Fail the job of a task, or a gang, under which too many workers have crashed.
 
         This holds for long-running tasks as well: each restart would crash another worker. In a
@@ -336,8 +336,8 @@
             crashes, possible = len(member.crashed_attempts), len(member.possible_crashes)
             own = len(member.crashed_attempts | member.suspected_crashes)
             total = len(attempts) if own >= MAX_CRASHES else own
-            is_deadly = crashes >= MAX_CRASHES or total >= MAX_SUSPECTED_CRASHES
-            if is_deadly or possible >= MAX_POSSIBLE_CRASHES:
+            is_excessive = crashes >= MAX_CRASHES or total >= MAX_SUSPECTED_CRASHES
+            if is_excessive or possible >= MAX_POSSIBLE_CRASHES:
                 step.job.status = JobStatus.FAILED
                 self.cluster_state.dirty_jobs.add(task.id.job_id)
                 uncertain = max(total, possible) - crashes
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -19,9 +19,9 @@
 )
 
 
-def submit_deadly(harness, job):
+def submit_crashing(harness, job):
     """Submit a job whose tasks crash each worker that starts them."""
-    harness.cluster.deadly.add_job(job)
+    harness.cluster.crashing.add_job(job)
     harness.cluster.submit(job)
 
 
@@ -30,15 +30,14 @@
     return sum(not worker.is_up for worker in harness.cluster.workers.values())
 
 
-class TestDeadlyTasks:
-    # Guards against a task that crashes each worker being started without end: lost runs counted
-    # for nothing. Seen in incident BUDGET, where a task was started seven times.
+class TestCrashingTasks:
+    # Regression: lost runs counted for nothing, so such a task was started without end.
 
     @pytest.mark.parametrize("priority", [0, 1])
     def test_task_that_crashes_its_workers_is_given_up(self, priority):
         async def scenario(harness):
             job = make_job(make_step(seconds=7.0), priority=priority)
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_status(job, JobStatus.FAILED, 30)
             assert crashed_workers(harness) <= 3
 
@@ -47,15 +46,15 @@
     def test_gang_that_crashes_its_workers_is_given_up(self):
         async def scenario(harness):
             job = make_job(make_step(count=4, accelerators=4, is_gang=True, seconds=7.0))
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_status(job, JobStatus.FAILED, 30)
 
         run_scenario(scenario, workers=8)
 
-    def test_gang_with_one_deadly_task_is_given_up(self):
+    def test_gang_with_one_crashing_task_is_given_up(self):
         async def scenario(harness):
             job = make_job(make_step(count=4, accelerators=8, is_gang=True, seconds=7.0))
-            harness.cluster.deadly.tasks.add(TaskId(job.id, 0, 0, 2))
+            harness.cluster.crashing.tasks.add(TaskId(job.id, 0, 0, 2))
             harness.cluster.submit(job)
             await harness.wait_status(job, JobStatus.FAILED, 30)
             assert crashed_workers(harness) <= 3
@@ -65,18 +64,18 @@
     def test_long_running_task_that_crashes_its_workers_is_given_up(self):
         async def scenario(harness):
             job = make_job(make_step(lasts=True))
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_status(job, JobStatus.FAILED, 30)
 
         run_scenario(scenario)
 
     @pytest.mark.parametrize(("count", "accelerators"), [(16, 1), (16, 8), (40, 8)])
-    def test_job_of_many_deadly_tasks_crashes_few_workers_after_the_first_ones(
+    def test_job_of_many_crashing_tasks_crashes_few_workers_after_the_first_ones(
         self, count, accelerators
     ):
         async def scenario(harness):
             job = make_job(make_step(count=count, accelerators=accelerators, seconds=7.0))
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_until(lambda: crashed_workers(harness), 8)
             await asyncio.sleep(0.5)
             first_wave = crashed_workers(harness)
@@ -88,9 +87,9 @@
     @pytest.mark.parametrize("return_seconds", [1.0, 8.0])
     def test_task_is_given_up_however_long_its_workers_are_away(self, return_seconds):
         async def scenario(harness):
-            harness.cluster.deadly.return_seconds = return_seconds
+            harness.cluster.crashing.return_seconds = return_seconds
             job = make_job(make_step(seconds=7.0))
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_status(job, JobStatus.FAILED, 40)
             assert crashed_workers(harness) <= 4
 
@@ -99,7 +98,7 @@
     def test_task_is_given_up_although_the_leader_changes_between_crashes(self):
         async def scenario(harness):
             job = make_job(make_step(seconds=7.0))
-            submit_deadly(harness, job)
+            submit_crashing(harness, job)
             await harness.wait_until(lambda: crashed_workers(harness), 8)
             await asyncio.sleep(5.0)
             await harness.kill(harness.leader_name)
@@ -110,9 +109,9 @@
 
 
 class TestInnocentJobs:
-    def test_jobs_beside_deadly_tasks_complete(self):
+    def test_jobs_beside_crashing_tasks_complete(self):
         async def scenario(harness):
-            deadly = [make_job(make_step(seconds=7.0)) for _ in range(3)]
+            crashing = [make_job(make_step(seconds=7.0)) for _ in range(3)]
             innocent = [make_job(make_step(seconds=4.0)) for _ in range(8)]
             innocent += [
                 make_job(make_step(count=6, seconds=4.0, is_gang=True, saves=True))
@@ -120,26 +119,26 @@
             ]
             for job in innocent[:4]:
                 harness.cluster.submit(job)
-            for job in deadly:
-                submit_deadly(harness, job)
+            for job in crashing:
+                submit_crashing(harness, job)
             for job in innocent[4:]:
                 harness.cluster.submit(job)
-            for job in deadly:
+            for job in crashing:
                 await harness.wait_status(job, JobStatus.FAILED, 60)
             for job in innocent:
                 await harness.wait_status(job, JobStatus.COMPLETED, 60)
 
         run_scenario(scenario, workers=6)
 
-    def test_jobs_complete_on_a_full_cluster_with_deadly_tasks(self):
+    def test_jobs_complete_on_a_full_cluster_with_crashing_tasks(self):
         async def scenario(harness):
             jobs = [make_job(make_step(count=8, seconds=2.0)) for _ in range(20)]
-            deadly = make_job(make_step(seconds=2.0))
+            crashing = make_job(make_step(seconds=2.0))
             for number, job in enumerate(jobs):
                 harness.cluster.submit(job)
                 if number == 1:
-                    submit_deadly(harness, deadly)
-            await harness.wait_status(deadly, JobStatus.FAILED, 60)
+                    submit_crashing(harness, crashing)
+            await harness.wait_status(crashing, JobStatus.FAILED, 60)
             for job in jobs:
                 await harness.wait_status(job, JobStatus.COMPLETED, 60)
 
@@ -152,7 +151,7 @@
             await harness.start_job(job, 2, 8)
             worker = next(each for each in cluster.workers.values() if each.active)
             worker.crash()
-            cluster.deadly.replace_worker(worker)
+            cluster.crashing.replace_worker(worker)
             others = [make_job(make_step(count=8, seconds=3.0), priority=2) for _ in range(30)]
             for other in others:
                 cluster.submit(other)
@@ -202,7 +201,7 @@
                 cluster.begin_draining(worker)
                 await asyncio.sleep(2.2)
                 worker.crash()
-                cluster.deadly.replace_worker(worker)
+                cluster.crashing.replace_worker(worker)
             for job in jobs:
                 await harness.wait_status(job, JobStatus.COMPLETED, 60)
 
@@ -455,7 +454,7 @@
         (step,) = state.steps
         for task, attempts in zip(step.tasks, crashes, strict=True):
             task.suspected_crashes = attempts
-        case.crashes.give_up_deadly_task(step, step.tasks[2])
+        case.crashes.give_up_crashing_task(step, step.tasks[2])
         assert state.status is status
 
     def test_work_without_a_crash_clears_the_task(self):
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -31,11 +31,11 @@
 """Seeds that add to all of that capacities that shrink and grow, on workers that start whatever
 they are told to, and tasks without accelerators."""
 
-DEADLY_SEEDS = range(3000, 3016)
+CRASHING_SEEDS = range(3000, 3016)
 """Seeds that add to all of that, instead of changes of capacity, jobs that crash their workers, and
 crashed workers that come back under other ids."""
 
-DEADLY_REGRESSION_SEEDS = (3024, 3042, 3059, 3067, 3085, 3156, 3184)
+CRASHING_REGRESSION_SEEDS = (3024, 3042, 3059, 3067, 3085, 3156, 3184)
 """Seeds that failed before: a job failed after one crash (3024), or crashes were not counted, since
 the leader had changed or was without the store, or other tasks of a gang had crashed."""
 
@@ -53,11 +53,11 @@
 
     :param seed: seed of all random decisions.
     :param has_capacity_changes: whether capacities of workers change.
-    :param has_deadly_jobs: whether some jobs crash the workers that start them.
+    :param has_crashing_jobs: whether some jobs crash the workers that start them.
     """
 
     def __init__(
-        self, seed: int, has_capacity_changes: bool = False, has_deadly_jobs: bool = False
+        self, seed: int, has_capacity_changes: bool = False, has_crashing_jobs: bool = False
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -74,7 +74,7 @@
         self.has_capacity_changes = has_capacity_changes
         for worker in self.cluster.workers.values():
             worker.guards_capacity = not self.has_capacity_changes
-        self.has_deadly_jobs = has_deadly_jobs
+        self.has_crashing_jobs = has_crashing_jobs
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -103,7 +103,7 @@
             faults += [self.evacuate_data_centre, self.drain_worker]
         if self.has_capacity_changes:
             faults += [self.change_capacity] * 4
-        if self.has_deadly_jobs:
+        if self.has_crashing_jobs:
             faults += [self.replace_worker]
         fault_tasks = []
         while self.harness.clock.now() < end:
@@ -132,14 +132,14 @@
 
     def check_failed_jobs(self) -> None:
         """Check that jobs failed only if two workers crashed under a task; no run fails itself."""
-        deadly = self.cluster.deadly
-        crashed = {task.job_id for task, count in deadly.crash_counts.items() if count >= 2}
+        crashing = self.cluster.crashing
+        crashed = {task.job_id for task, count in crashing.crash_counts.items() if count >= 2}
         for job in self.jobs:
             status = self.harness.status(job)
             if status is JobStatus.FAILED and job.id not in crashed:
                 self.cluster.violations.append(f"{job.id} failed without cause")
-            if status is JobStatus.COMPLETED and job.id in {task.job_id for task in deadly.tasks}:
-                self.cluster.violations.append(f"{job.id} completed, although it is deadly")
+            if status is JobStatus.COMPLETED and job.id in {task.job_id for task in crashing.tasks}:
+                self.cluster.violations.append(f"{job.id} completed, although it is crashing")
 
     def is_final(self, job) -> bool:
         status = self.harness.status(job)
@@ -178,8 +178,8 @@
             )
         if self.has_schedules and job.is_repeatable and self.rng.random() < 0.5:
             job = self.add_schedule_or_long_run(job)
-        if self.has_deadly_jobs and self.rng.random() < 0.15:
-            self.cluster.deadly.add_job(job)
+        if self.has_crashing_jobs and self.rng.random() < 0.15:
+            self.cluster.crashing.add_job(job)
         self.cluster.submit(job)
         self.jobs.append(job)
 
@@ -264,7 +264,7 @@
             return
         worker.crash()
         await self.pause()
-        self.cluster.deadly.replace_worker(worker)
+        self.cluster.crashing.replace_worker(worker)
 
     async def delay_worker_requests(self) -> None:
         worker = self.pick_worker()
@@ -322,9 +322,9 @@
     def test_invariants_hold_while_capacities_change(self, seed):
         run_seed(seed, has_capacity_changes=True)
 
-    @pytest.mark.parametrize("seed", [*DEADLY_SEEDS, *DEADLY_REGRESSION_SEEDS])
-    def test_invariants_hold_beside_deadly_jobs(self, seed):
-        run_seed(seed, has_deadly_jobs=True)
+    @pytest.mark.parametrize("seed", [*CRASHING_SEEDS, *CRASHING_REGRESSION_SEEDS])
+    def test_invariants_hold_beside_crashing_jobs(self, seed):
+        run_seed(seed, has_crashing_jobs=True)
 
 
 def find_failure(seed: int, **features: bool) -> str | None:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -51,7 +51,7 @@
     Transaction,
     WatchableTable,
 )
-from standins.crashes import DeadlyTasks
+from standins.crashes import CrashingTasks
 
 MAX_ROW_BYTES = 65536
 """Maximum size of a row's value."""
@@ -550,7 +550,7 @@
         """Stop the worker abruptly; its active runs are lost without being reported."""
         lost = list(self.active.values())
         self.active.clear()
-        self.cluster.deadly.observe_crash(self, lost)
+        self.cluster.crashing.observe_crash(self, lost)
         for run in lost:
             if run.end_timer is not None:
                 run.end_timer.cancel()
@@ -696,7 +696,7 @@
     :ivar evacuated_at: time at which each data centre was taken out of service, in seconds.
     :ivar draining_since: time at which each draining worker began to drain, in seconds.
     :ivar is_executing_late_request: whether the current request was sent earlier and timed out.
-    :ivar deadly: tasks that crash their workers, and the crashes.
+    :ivar crashing: tasks that crash their workers, and the crashes.
     """
 
     def __init__(
@@ -724,7 +724,7 @@
         self.evacuated_at: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
         self.is_executing_late_request = False
-        self.deadly = DeadlyTasks(self)
+        self.crashing = CrashingTasks(self)
         self.ports = itertools.count(1000)
 
     def add_worker(
@@ -857,7 +857,7 @@
         self.runs[(run.task, run.attempt, worker.entry.id)] = RecordedRun(
             run.task, run.attempt, worker.entry.id, now
         )
-        self.deadly.observe_start(worker, run)
+        self.crashing.observe_start(worker, run)
         if run.step.is_gang:
             self.join_gang(worker, run)
         else:
--- a/standins/crashes.py
+++ b/standins/crashes.py
@@ -1,4 +1,4 @@
-"""Deadly tasks: they crash each worker that starts them, and the worker's machine comes back."""
+"""Crashing tasks: they crash each worker that starts them, and the worker's machine comes back."""
 
 import asyncio
 from collections import Counter, defaultdict
@@ -14,7 +14,7 @@
     from standins.cluster import MemoryCluster, MemoryWorker, WorkerRun
 
 CRASH_DELAY_SECONDS = 0.01
-"""Time from the start of a deadly task to the crash of its worker."""
+"""Time from the start of a crashing task to the crash of its worker."""
 
 RETURN_SECONDS = 3.3
 """Time after a crash until the machine's next worker process registers."""
@@ -29,11 +29,11 @@
 """Maximum number of starts after that."""
 
 
-class DeadlyTasks:
+class CrashingTasks:
     """Tasks that crash their workers, with a check that they are not started again and again.
 
     :param cluster: cluster in which they run.
-    :ivar tasks: the deadly tasks.
+    :ivar tasks: the crashing tasks.
     :ivar crashes: times of the crashes under each of them, in seconds.
     :ivar crash_counts: number of workers that crashed for any reason under each task.
     :ivar return_seconds: time after a crash until the machine is back.
@@ -47,7 +47,7 @@
         self.return_seconds = RETURN_SECONDS
 
     def add_job(self, job: Job) -> None:
-        """Make all tasks of a job deadly."""
+        """Make all tasks of a job crashing."""
         self.tasks |= {
             TaskId(job.id, occurrence, number, index)
             for occurrence in range(max(1, job.repeats))
@@ -56,7 +56,7 @@
         }
 
     def observe_start(self, worker: "MemoryWorker", run: "WorkerRun") -> None:
-        """Check a start that has been recorded, and schedule the crash if its task is deadly."""
+        """Check a start that has been recorded, and schedule the crash if its task is crashing."""
         if run.task not in self.tasks:
             return
         crashes = self.crashes[run.task]
--- a/standins/tests/test_crashes.py
+++ b/standins/tests/test_crashes.py
@@ -6,7 +6,7 @@
 from standins.virtual_time import run_in_virtual_time
 
 
-class TestDeadlyTasks:
+class TestCrashingTasks:
     def test_third_start_after_three_crashes_is_a_violation(self):
         async def start(cluster: MemoryCluster, task: TaskId, attempt: int) -> None:
             worker = next(each for each in cluster.workers.values() if each.is_up)
@@ -19,7 +19,7 @@
             cluster.add_worker("worker-00")
             job = make_job()
             cluster.submit(job)
-            cluster.deadly.add_job(job)
+            cluster.crashing.add_job(job)
             for attempt in range(1, 6):
                 await start(cluster, TaskId(job.id, 0, 0, 0), attempt)
             assert cluster.violations == []
