--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -190,7 +190,7 @@
             step.spec.is_filling,
             step.job.spec.service,
             step.job.spec.priority == URGENT_PRIORITY,
-            round(step.spec.estimated_seconds) if self.holds.until else 0,
+            round(step.expected_seconds) if self.holds.until else 0,
             id(step) if has_reservation or is_retry or step in self.holds.holds else 0,
         )
 
@@ -343,7 +343,7 @@
         usable = self.permitted_workers(step, workers)
         if step.job.spec.priority == URGENT_PRIORITY:
             return usable
-        ends_at = now + step.spec.estimated_seconds
+        ends_at = now + step.expected_seconds
         return [worker for worker in usable if self.holds.may_use(step, worker, ends_at)]
 
     def permitted_workers(self, step: StepState, workers: list[Worker]) -> list[Worker]:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -89,9 +89,10 @@
         """
         if self.step.spec.lasts:
             return math.inf
-        estimate = self.step.spec.estimated_seconds / min(
-            4.0, max(0.25, self.relative_speed or 1.0)
-        )
+        if self.relative_speed:
+            estimate = self.step.spec.estimated_seconds / min(4.0, max(0.25, self.relative_speed))
+        else:
+            estimate = self.step.expected_seconds / self.worker.speed
         return max(0.1, estimate * (1 - self.percent / 100) - max(0.0, now - self.last_progress_at))
 
     def lost_core_seconds(self, now: float, restore_seconds: float) -> float:
@@ -156,6 +157,8 @@
     :param failed_attempts: attempts of a gang in which any task failed.
     :param is_tearing_down: whether the remaining runs of a gang's current attempt are being
         stopped.
+    :param expected_seconds: expected duration of one task on a worker of speed 1: the caller's
+        estimate, until runs of the queue have shown how far its estimates are off.
     """
 
     job: "JobState"
@@ -165,6 +168,9 @@
     occurrence: int = 0
     failed_attempts: set[int] = attrs.field(factory=set)
     is_tearing_down: bool = False
+    expected_seconds: float = attrs.field(
+        default=attrs.Factory(lambda self: self.spec.estimated_seconds, takes_self=True)
+    )
 
     @property
     def is_done(self) -> bool:
@@ -296,7 +302,7 @@
         """Return the estimated core-seconds of all tasks in open occurrences that are not done."""
         return sum(
             core_equivalent(step.spec.demand)
-            * step.spec.estimated_seconds
+            * step.expected_seconds
             * sum(not task.is_done for task in step.tasks)
             for step in self.steps
         )
@@ -306,7 +312,7 @@
         paths = [
             critical_path(
                 self.spec.steps,
-                [0.0 if step.is_done else step.spec.estimated_seconds for step in steps],
+                [0.0 if step.is_done else step.expected_seconds for step in steps],
             )
             for steps in self.occurrences.values()
         ]
@@ -350,6 +356,7 @@
         They hold capacity until they have ended.
     :param silent_since: time on the local clock, in seconds, at which a request to it first failed
         after it had responded; ``-inf`` before.
+    :param speed: work done in a second relative to a worker of speed 1, as learned from its runs.
     :param runs: current runs by task and attempt number.
     :param free: resources that no run holds, negative where the runs exceed a capacity that has
         shrunk.
@@ -376,6 +383,7 @@
     is_unreachable: bool = False
     has_unknown_runs: bool = False
     silent_since: float = -math.inf
+    speed: float = 1.0
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     free: Resources = attrs.field(
         default=attrs.Factory(lambda self: self.entry.capacity, takes_self=True)
--- a/src/jaypier/jobs/valuation.py
+++ b/src/jaypier/jobs/valuation.py
@@ -102,7 +102,7 @@
         if mean <= 0:
             return weight
         total_core_seconds = sum(
-            step.spec.count * step.spec.estimated_seconds * core_equivalent(step.spec.demand)
+            step.spec.count * step.expected_seconds * core_equivalent(step.spec.demand)
             for step in state.steps
         )
         return weight * min(MAX_SIZE_FACTOR, 0.3 + 0.7 * total_core_seconds / mean)
--- /dev/null
+++ b/src/jaypier/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler: pure, without I/O, clock, or knowledge of leader and store."""
