Tests of starts whose second try is answered while the first is under way

A start request without a response may be carried out seconds later. The stand-in workers now let single start and stop requests time out and execute them late, lose responses of starts, and answer a further try with any refusal meanwhile. Earlier fuzz seeds draw as before: the new faults have a flag and seeds of their own.

--- a/src/jaypier/jobs/tests/test_cluster_state.py
+++ b/src/jaypier/jobs/tests/test_cluster_state.py
@@ -129,6 +129,31 @@
         apply_report(cluster_state, run.worker, 6.1)
         assert not run.worker.runs
 
+    def test_run_whose_end_is_listed_after_that_of_an_unknown_job_is_not_lost(self):
+        cluster_state, job, planner, run = self.start_one()
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+        ends = [
+            make_ended_run(1, TaskId("00000000000000ff", 0, 0, 0), RunOutcome.DONE),
+            make_ended_run(2, run.task, RunOutcome.DONE),
+        ]
+        apply_report(cluster_state, run.worker, 0.5, ends=ends)
+        assert planner.plan(0.5, 0.5).starts == []
+        apply_report(cluster_state, run.worker, 2.5, ends=ends)
+        assert cluster_state.jobs[job.id].status is JobStatus.COMPLETED
+
+    def test_run_that_a_report_of_many_ends_leaves_out_is_not_lost(self):
+        cluster_state, job, planner, run = self.start_one()
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+        ends = [
+            make_ended_run(number, TaskId(job.id, 0, 1, number), RunOutcome.DONE)
+            for number in range(1, 501)
+        ]
+        apply_report(cluster_state, run.worker, 0.5, ends=ends)
+        assert planner.plan(0.5, 0.5).starts == []
+        end = make_ended_run(501, run.task, RunOutcome.DONE)
+        apply_report(cluster_state, run.worker, 1.0, ends=[end])
+        assert cluster_state.jobs[job.id].status is JobStatus.COMPLETED
+
     def test_run_is_kept_until_its_start_request_is_sent(self):
         cluster_state, job, _, run = self.start_one()
         apply_report(cluster_state, run.worker, 100.0)
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -7,9 +7,9 @@
 import attrs
 import pytest
 
-from jaypier.jobs.model import Job, JobStatus, Resources
+from jaypier.jobs.model import Job, JobStatus, Resources, StartResponse
 from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step
-from standins.cluster import MemoryCluster, MemoryStore
+from standins.cluster import MAX_REQUEST_DELAY_SECONDS, MemoryCluster, MemoryStore
 from standins.virtual_time import run_in_virtual_time
 
 SEEDS = range(24)
@@ -39,6 +39,13 @@
 """Seeds that failed before: a job failed after one crash (3024), or crashes were not counted, since
 the leader had changed or was without the store, or other tasks of a gang had crashed."""
 
+UNCLEAR_START_SEEDS = range(4000, 4012)
+"""Seeds that add to the faults of the schedule seeds start and stop requests that are executed
+late, start responses that are lost, and refusals of a run whose earlier start request is still under
+way."""
+
+REFUSALS = tuple(each for each in StartResponse if each is not StartResponse.STARTED)
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -54,10 +61,15 @@
     :param seed: seed of all random decisions.
     :param has_capacity_changes: whether capacities of workers change.
     :param has_crashing_jobs: whether some jobs crash the workers that start them.
+    :param has_unclear_starts: whether start requests are delayed and refused meanwhile.
     """
 
     def __init__(
-        self, seed: int, has_capacity_changes: bool = False, has_crashing_jobs: bool = False
+        self,
+        seed: int,
+        has_capacity_changes: bool = False,
+        has_crashing_jobs: bool = False,
+        has_unclear_starts: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -75,6 +87,7 @@
         for worker in self.cluster.workers.values():
             worker.guards_capacity = not self.has_capacity_changes
         self.has_crashing_jobs = has_crashing_jobs
+        self.has_unclear_starts = has_unclear_starts
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -105,6 +118,8 @@
             faults += [self.change_capacity] * 4
         if self.has_crashing_jobs:
             faults += [self.replace_worker]
+        if self.has_unclear_starts:
+            faults += [self.delay_starts] * 8
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -272,6 +287,16 @@
         await self.pause()
         worker.late_request_probability = 0.0
 
+    async def delay_starts(self) -> None:
+        cluster = self.cluster
+        cluster.answers_beside_pending_start = REFUSALS
+        cluster.delay_seconds = self.rng.uniform(0.5, MAX_REQUEST_DELAY_SECONDS)
+        cluster.delayed_starts += self.rng.randint(1, 6)
+        cluster.delayed_stops += self.rng.randint(0, 3)
+        cluster.lost_start_responses += self.rng.randint(0, 3)
+        await self.pause()
+        cluster.answers_beside_pending_start = ()
+
     async def unregister_worker(self) -> None:
         worker = self.pick_worker()
         self.cluster.unregister(worker)
@@ -326,6 +351,10 @@
     def test_invariants_hold_beside_crashing_jobs(self, seed):
         run_seed(seed, has_crashing_jobs=True)
 
+    @pytest.mark.parametrize("seed", UNCLEAR_START_SEEDS)
+    def test_invariants_hold_beside_unclear_starts(self, seed):
+        run_seed(seed, has_unclear_starts=True)
+
 
 def find_failure(seed: int, **features: bool) -> str | None:
     """Return the failure of a seed, ``None`` if it passes; for manual runs with many seeds."""
--- a/src/jaypier/jobs/tests/test_single_start.py
+++ b/src/jaypier/jobs/tests/test_single_start.py
@@ -1,8 +1,11 @@
-"""Jobs that are not repeatable, and jobs that are not preemptible."""
+"""Tasks that start once whatever happens to their requests, and jobs that are not preemptible."""
+
+import asyncio
 
 import attrs
+import pytest
 
-from jaypier.jobs.model import JobStatus
+from jaypier.jobs.model import JobStatus, StartResponse
 from jaypier.jobs.tests.builders import (
     make_cluster_state,
     make_job,
@@ -10,6 +13,7 @@
     make_step,
     run_scenario,
 )
+from jaypier.jobs.worker_interface import WorkerUnreachable
 
 SINGLE_START = {"is_repeatable": False, "is_preemptible": False, "max_attempts": 1}
 
@@ -101,6 +105,95 @@
         run_scenario(scenario)
 
 
+REFUSALS = [response for response in StartResponse if response is not StartResponse.STARTED]
+
+
+class TestAnswersAfterUnansweredTries:
+    """An answer to a later try does not tell what an earlier one without an answer will do."""
+
+    @pytest.mark.parametrize("response", REFUSALS)
+    @pytest.mark.parametrize("is_gang", [False, True])
+    def test_refused_run_is_not_started_elsewhere(self, response, is_gang):
+        async def scenario(harness):
+            cluster = harness.cluster
+            cluster.delayed_starts, cluster.answers_beside_pending_start = 1, (response,)
+            job = make_job(make_step(count=3, accelerators=2, seconds=6.0, is_gang=is_gang))
+            cluster.submit(job)
+            await harness.wait_status(job, JobStatus.COMPLETED, 40)
+            assert is_gang or count_starts(harness, job) == 3
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("response", REFUSALS)
+    def test_job_that_is_not_repeatable_starts_at_most_once(self, response):
+        async def scenario(harness):
+            cluster = harness.cluster
+            cluster.delayed_starts, cluster.answers_beside_pending_start = 1, (response,)
+            job = make_job(make_step(seconds=3.0), **SINGLE_START)
+            cluster.submit(job)
+            await harness.wait_until(
+                lambda: harness.status(job) is not None and harness.status(job).is_final, 40
+            )
+            assert count_starts(harness, job) <= 1
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("response", REFUSALS)
+    def test_refused_run_is_not_started_elsewhere_while_its_stop_is_late(self, response):
+        async def scenario(harness):
+            cluster = harness.cluster
+            cluster.delayed_starts, cluster.answers_beside_pending_start = 1, (response,)
+            cluster.delayed_stops = 4
+            job = make_job(make_step(seconds=6.0))
+            cluster.submit(job)
+            await harness.wait_status(job, JobStatus.COMPLETED, 40)
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("response", REFUSALS)
+    def test_refused_run_is_not_started_elsewhere_by_the_next_leader(self, response):
+        async def scenario(harness):
+            cluster = harness.cluster
+            cluster.delayed_starts, cluster.answers_beside_pending_start = 1, (response,)
+            cluster.delay_seconds = 4.0
+            job = make_job(make_step(seconds=6.0))
+            cluster.submit(job)
+            await harness.wait_until(lambda: cluster.delayed_starts == 0, 8)
+            await asyncio.sleep(0.5)
+            if harness.leader_name is not None:
+                await harness.kill(harness.leader_name)
+            await harness.wait_status(job, JobStatus.COMPLETED, 40)
+
+        run_scenario(scenario)
+
+    def test_run_that_ended_before_the_next_try_is_not_started_again(self):
+        async def scenario(harness):
+            find_link = harness.cluster.link
+
+            def link(name, entry):
+                link = find_link(name, entry)
+                renew = link.renew
+
+                async def lose_report(*arguments):
+                    report = await renew(*arguments)
+                    if harness.cluster.runs and harness.clock.now() < reports_lost_until:
+                        raise WorkerUnreachable("report lost")
+                    return report
+
+                link.renew = lose_report
+                return link
+
+            harness.cluster.link = link
+            reports_lost_until = harness.clock.now() + 4.0
+            harness.cluster.lost_start_responses = 1
+            job = make_job(make_step(seconds=0.2))
+            harness.cluster.submit(job)
+            await harness.wait_status(job, JobStatus.COMPLETED, 10)
+            assert count_starts(harness, job) == 1
+
+        run_scenario(scenario)
+
+
 class TestPreemption:
     def test_urgent_job_preempts_only_preemptible_jobs(self):
         non_preemptible = make_job(make_step(accelerators=8), is_preemptible=False)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -11,7 +11,7 @@
 import copy
 import itertools
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import attrs
 import msgspec
@@ -96,6 +96,9 @@
 WORKER_REQUEST_ROUND_TRIP_SECONDS = 0.002
 """Round-trip time of a request to a worker."""
 
+REQUEST_TIMEOUT_SECONDS = 0.4
+"""Time after which a request to a worker without a response times out."""
+
 
 class MemoryStore(WatchableTable):
     """In-memory store with a change feed and configurable disruptions.
@@ -384,6 +387,7 @@
     :param end_count: number of runs that have ended; the last number in ``finished``.
     :param highest_attempts: highest attempt of each task that has ended or been stopped.
     :param run_ended: set whenever a run ends.
+    :param pending_starts: runs whose start request has timed out and is still to be executed.
     """
 
     cluster: "MemoryCluster"
@@ -406,6 +410,7 @@
     end_count: int = 0
     highest_attempts: dict[TaskId, int] = attrs.field(factory=lambda: defaultdict(int))
     run_ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+    pending_starts: Counter[tuple[TaskId, int]] = attrs.field(factory=Counter)
 
     @property
     def now(self) -> float:
@@ -490,6 +495,26 @@
         self.cluster.record_start(self, run, start_request)
         return StartResponse.STARTED
 
+    def answer_beside_pending_start(
+        self, epoch: int, start_request: StartRequest
+    ) -> StartResponse | None:
+        """Return the answer to a start request while an earlier one for the run is under way.
+
+        ``None`` if there is no earlier one, or this one is to be executed. An answer that shows the
+        run to be outdated, or the worker to have no room, extends the lease nevertheless.
+        """
+        answers = self.cluster.answers_beside_pending_start
+        if not answers or not self.pending_starts[(start_request.task, start_request.attempt)]:
+            return None
+        answer = answers[0] if len(answers) == 1 else self.cluster.rng.choice(answers)
+        if (
+            answer in (StartResponse.OUTDATED, StartResponse.NO_ROOM)
+            and epoch >= self.fencing_epoch
+        ):
+            self.fencing_epoch = epoch
+            self.extend_lease(start_request.deadline)
+        return answer
+
     def begin_work(self, run: WorkerRun) -> None:
         """Begin the work of a run and schedule its end, unless it is long-running or hangs."""
         run.working_since = self.now
@@ -564,6 +589,7 @@
         self.fencing_epoch = self.lease_deadline = self.end_count = 0
         self.finished.clear()
         self.highest_attempts.clear()
+        self.pending_starts.clear()
         self.is_up = True
         self.cluster.register(self)
 
@@ -593,25 +619,36 @@
         """
         await asyncio.sleep(WORKER_REQUEST_ROUND_TRIP_SECONDS / 2)
         if not self.is_reachable:
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
             raise WorkerUnreachable("no response in time")
         if self.worker.cluster.rng.random() < self.worker.late_request_probability:
             delay = self.worker.cluster.rng.uniform(2.0, MAX_REQUEST_DELAY_SECONDS)
-            asyncio.get_running_loop().call_later(
-                delay, self.execute_late, self.worker.entry.born, operation, arguments
-            )
-            await asyncio.sleep(0.4)
-            raise WorkerUnreachable("no response in time")
+            await self.delay_request(delay, operation, arguments)
         result = operation(*arguments)
         await asyncio.sleep(WORKER_REQUEST_ROUND_TRIP_SECONDS / 2)
         if not self.is_reachable:
             raise WorkerUnreachable("response lost")
         return result
 
+    async def delay_request(self, seconds: float, operation, arguments) -> None:
+        """Let a request time out, and have it executed after ``seconds``.
+
+        :raises WorkerUnreachable: always.
+        """
+        if operation == self.worker.start:
+            self.worker.pending_starts[(arguments[1].task, arguments[1].attempt)] += 1
+        asyncio.get_running_loop().call_later(
+            seconds, self.execute_late, self.worker.entry.born, operation, arguments
+        )
+        await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
+        raise WorkerUnreachable("no response in time")
+
     def execute_late(self, born: int, operation, arguments) -> None:
         """Execute a request that has timed out, unless the worker has restarted since."""
         if not self.worker.is_up or self.worker.entry.born != born:
             return
+        if operation == self.worker.start:
+            self.worker.pending_starts[(arguments[1].task, arguments[1].attempt)] -= 1
         self.worker.cluster.is_executing_late_request = True
         try:
             operation(*arguments)
@@ -645,10 +682,31 @@
 
     async def start(self, epoch: int, start_request: StartRequest) -> StartResponse:
         """Start a task; repeating a request has no effect."""
+        cluster = self.worker.cluster
+        if cluster.delayed_starts > 0:
+            cluster.delayed_starts -= 1
+            await self.delay_request(
+                cluster.delay_seconds, self.worker.start, (epoch, start_request)
+            )
+        if cluster.lost_start_responses > 0:
+            cluster.lost_start_responses -= 1
+            await self.call_worker(self.worker.start, epoch, start_request)
+            await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
+            raise WorkerUnreachable("response lost")
+        answer = self.worker.answer_beside_pending_start(epoch, start_request)
+        if answer is not None and self.is_reachable:
+            await asyncio.sleep(WORKER_REQUEST_ROUND_TRIP_SECONDS)
+            return answer
         return await self.call_worker(self.worker.start, epoch, start_request)
 
     async def stop(self, epoch: int, task: TaskId, attempt: int) -> None:
         """Stop a run, or prevent it from being started later."""
+        cluster = self.worker.cluster
+        if cluster.delayed_stops > 0:
+            cluster.delayed_stops -= 1
+            await self.delay_request(
+                cluster.delay_seconds, self.worker.stop, (epoch, task, attempt)
+            )
         await self.call_worker(self.worker.stop, epoch, task, attempt)
 
     def close(self) -> None:
@@ -697,6 +755,12 @@
     :ivar draining_since: time at which each draining worker began to drain, in seconds.
     :ivar is_executing_late_request: whether the current request was sent earlier and timed out.
     :ivar crashing: tasks that crash their workers, and the crashes.
+    :ivar delayed_starts: number of next start requests that time out and are executed after
+        ``delay_seconds``.
+    :ivar delayed_stops: the same for stop requests.
+    :ivar lost_start_responses: number of next start requests that are executed without a response.
+    :ivar answers_beside_pending_start: answers to a start request while an earlier one for the run
+        has timed out and is still to be executed; none to execute it as usual.
     """
 
     def __init__(
@@ -726,6 +790,11 @@
         self.is_executing_late_request = False
         self.crashing = CrashingTasks(self)
         self.ports = itertools.count(1000)
+        self.delayed_starts = 0
+        self.delayed_stops = 0
+        self.delay_seconds = 2.0
+        self.lost_start_responses = 0
+        self.answers_beside_pending_start: tuple[StartResponse, ...] = ()
 
     def add_worker(
         self,
