A refusal after a start request without a response leaves the run unclear

Cause: the leader took any answer for proof about the run. A 503 to the second try shows only that this request did nothing; the first one, without a response, was carried out two seconds later, when the task ran elsewhere.

Change: jobs/starts.py decides for each response what it proves, alone and after a try without a response. After one, only 'started' and 'deposed' prove anything; any other refusal leads to a stop, and the run holds its capacity until that is confirmed. Same class in reports: a run is not lost if its end is listed but deferred behind that of an unknown job, or may be left out of a full page of ends. Quick failures of a start are retried after 20 ms, doubling up to 0.4 s.

Ruled out: carrying on with tries after a refusal (a worker that stays unhealthy would hold the task for 1.5 s), and a shorter list of unclear responses (an outdated run may have succeeded).

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -24,8 +24,10 @@
     WorkerEntry,
     WorkerReport,
 )
+from jaypier.jobs.starts import StartVerdict, judge_start
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
 from jaypier.jobs.stragglers import EstimateAccuracy, sample_speed, update_slow_worker
+from jaypier.jobs.worker_interface import MAX_ENDS_PER_REPORT
 
 LEASE_DRIFT_FACTOR = 1.03
 """Factor from the length of a lease on a worker's clock to its longest possible length on the local
@@ -415,11 +417,19 @@
         ]
         active = {(each.task, each.attempt) for each in report.active}
         worker.has_unknown_runs = not active <= worker.runs.keys()
+        # An end that is listed but not applied yet, or left out of a long list, says more.
+        deferred = {
+            (end.task, end.attempt)
+            for end in report.ended
+            if end.sequence_number > worker.last_processed_end
+        }
+        lists_all_ends = len(report.ended) < MAX_ENDS_PER_REPORT
         for run in list(worker.runs.values()):
             is_conclusive = (
                 sent_at > run.reports_conclusive_after or report.clock > run.start_deadline
             )
-            if run.key not in active and is_conclusive:
+            is_listed = run.key in active or run.key in deferred
+            if not is_listed and is_conclusive and lists_all_ends:
                 if not has_restarted:
                     self.crashes.exempt_run(run)
                 self.mark_run_lost(run)
@@ -560,22 +570,30 @@
         if len(failed) >= limit and not step.job.status.is_final:
             step.job.status = JobStatus.FAILED
 
-    def apply_start_response(self, run: Run, response: StartResponse, now: float) -> None:
-        """Apply a worker's response to a start request.
+    def apply_start_response(
+        self, run: Run, response: StartResponse, now: float, has_unanswered_try: bool = False
+    ) -> StartVerdict:
+        """Apply a worker's response to a start request; return what it proves.
+
+        A run of which it is unclear whether it starts is kept; its stop has to be requested.
 
         :param now: time on the local clock, in seconds.
+        :param has_unanswered_try: whether an earlier start request for the run had no response.
         """
+        verdict = judge_start(response, has_unanswered_try)
         if run.worker.runs.get(run.key) is not run:
-            return
-        if response is StartResponse.STARTED:
+            return verdict
+        if verdict is StartVerdict.RUNNING:
             run.is_on_probation = run.is_on_probation or not run.is_confirmed
             run.is_confirmed = True
             run.reports_conclusive_after = now
-            return
+            return verdict
         if response is StartResponse.UNHEALTHY:
             self.avoid_worker(run.worker, now)
-        self.end_run(run)
+        if verdict is StartVerdict.NOT_STARTED:
+            self.end_run(run)
         run.step.job.not_before = now + START_RETRY_DELAY_SECONDS
+        return verdict
 
     def mark_obsolete_runs(self) -> Iterator[Run]:
         """Mark runs that are no longer needed to be stopped, and return those newly marked.
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -28,6 +28,7 @@
     restore_jobs,
 )
 from jaypier.jobs.session import WorkerSession
+from jaypier.jobs.starts import StartVerdict, seconds_until_next_try
 from jaypier.jobs.state import Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
 from jaypier.jobs.valuation import ValueSettings
@@ -528,7 +529,8 @@
     async def start_run(self, run: Run) -> None:
         """Send the start request of a run, retrying until the worker has responded.
 
-        After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead.
+        After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead; so it is
+        after a refusal that does not prove that the run will not start.
 
         The start is withdrawn if the worker's capacity shrinks below its runs in the meantime, or
         is no longer known.
@@ -557,12 +559,17 @@
         deadline = run.start_deadline
         request = StartRequest(run.task, run.attempt, state.spec.payload, task.checkpoint, deadline)
         for tries in itertools.count(1):
-            if run.is_stopping or worker.runs.get(run.key) is not run:
+            if worker.runs.get(run.key) is not run:
+                return
+            if run.is_stopping:
+                if tries == 1:
+                    self.release_unsent_run(run, "run stopped before its start was sent")
                 return
             is_known = self.cluster_state.is_capacity_known(worker, self.clock.now())
             if worker.is_overcommitted or not is_known:
                 self.withdraw_start(run, is_sent=tries > 1)
                 return
+            sent_at = self.clock.now()
             try:
                 response = await session.link.start(self.epoch, request)
             except WorkerUnreachable as error:
@@ -576,6 +583,7 @@
                     )
                     self.give_up_start(run, f"start response not received: {error}")
                     return
+                await asyncio.sleep(max(0.0, sent_at + seconds_until_next_try(tries) - now))
                 continue
             except Exception as error:
                 log.error("start request failed", task=str(run.task), exc_info=error)
@@ -597,8 +605,13 @@
             raise LeadershipLost(
                 f"worker {worker.id} refused epoch {self.epoch}: it has accepted a newer one"
             )
-        self.cluster_state.apply_start_response(run, response, self.clock.now())
-        if response is not StartResponse.STARTED:
+        verdict = self.cluster_state.apply_start_response(
+            run, response, self.clock.now(), has_unanswered_try=tries > 1
+        )
+        if verdict is StartVerdict.UNCLEAR:
+            self.metrics.count("leader.starts_unclear")
+            self.give_up_start(run, f"start {response} after a try without a response")
+        if verdict is not StartVerdict.RUNNING:
             self.scheduling_requested.set()
 
     def withdraw_start(self, run: Run, is_sent: bool) -> None:
@@ -609,7 +622,14 @@
         if is_sent:
             self.give_up_start(run, "worker overcommitted or its capacity unknown")
             return
-        log.info("start withdrawn", task=str(run.task), worker=run.worker.id)
+        self.release_unsent_run(run, "worker overcommitted or its capacity unknown")
+
+    def release_unsent_run(self, run: Run, reason: str) -> None:
+        """Release a run whose start request has not been sent.
+
+        :param reason: reason for the log.
+        """
+        log.info("start withdrawn", task=str(run.task), worker=run.worker.id, reason=reason)
         self.cluster_state.apply_start_response(run, StartResponse.NO_ROOM, self.clock.now())
         self.scheduling_requested.set()
 
--- a/src/jaypier/jobs/worker_interface.py
+++ b/src/jaypier/jobs/worker_interface.py
@@ -8,6 +8,9 @@
 from jaypier.jobs.model import StartRequest, StartResponse, TaskId, WorkerEntry, WorkerReport
 from jaypier.platform import ChangeSource
 
+MAX_ENDS_PER_REPORT = 500
+"""Number of ended runs in a report at which it may leave out later ones."""
+
 
 class WorkerUnreachable(JaypierError):
     """A worker sent no usable response; it may still carry out the request later."""
