Team limits: no start takes a team over what it may have running

Cause: operators may limit what each team has running (cores, memory, accelerators), and nothing read these limits.

Change: the configuration holds a limit and a weight for each team; TeamLimits counts what each team's runs hold until their ends are known, with a bound for runs that are not known on workers that have not reported. The planner starts no more than the limit affords, gangs as a whole, holds no workers and preempts no others for what the limit forbids. A waiting gang or urgent step keeps what the limit leaves; an urgent job within its guarantee stops runs of its own team for it. A job that can never fit is refused with status 429 unless it is stored.

--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -26,6 +26,7 @@
     pending_response,
     state_response,
 )
+from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -195,7 +196,12 @@
             interval_seconds=request.interval_seconds,
         )
 
+        limit = self.watcher.configuration.limit_of(job.team)
+        excess = explain_excess(job.team, job.steps, limit)
+
         async def accept(call: Call) -> HttpResponse:
+            if excess:
+                return await self.refuse_excess(job, excess)
             try:
                 if await self.jobs.accept(job):
                     return accepted_response()
@@ -213,6 +219,21 @@
         )
         return response
 
+    async def refuse_excess(self, job: Job, excess: str) -> HttpResponse:
+        """Refuse a job that can never run within its team's limit, unless it is stored already.
+
+        It may have been accepted before the limit was lowered.
+
+        :param excess: what exceeds the limit.
+        """
+        stored = await self.jobs.find(job.id)
+        if stored is None:
+            self.metrics.count("front.over_team_limit")
+            return error_response(429, f"not run: {excess}")
+        if stored.is_same_request(job):
+            return accepted_response()
+        return error_response(409, f"another job has the identity {job.id}")
+
     @property
     def retry_after(self) -> int:
         """Seconds after which a request that cannot be served now may be sent again."""
--- a/src/jaypier/entry/configuration.py
+++ b/src/jaypier/entry/configuration.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from jaypier.jobs.model import Resources
 from jaypier.platform import ChangeSource
 from jaypier.wire.server import HttpLimits
 
@@ -49,11 +50,16 @@
 
     :param keys: API keys of its callers.
     :param guaranteed_accelerators: number of accelerators that its urgent jobs can always get.
+    :param limit: what it may have running on all workers together; 0 stands for no limit.
+    :param weight: jobs a second that make up its share when all capacity is in use, 0 for an equal
+        share.
     """
 
     name: str
     keys: frozenset[str]
     guaranteed_accelerators: int
+    limit: Resources = attrs.field(factory=Resources)
+    weight: float = 0.0
 
 
 @attrs.frozen
@@ -88,6 +94,11 @@
         """Return the team that an API key belongs to, or ``None``."""
         return next((team for team in self.teams if key in team.keys), None)
 
+    def limit_of(self, team_name: str) -> Resources:
+        """Return what a team may have running, 0 for no limit."""
+        limits = (team.limit for team in self.teams if team.name == team_name)
+        return next(limits, Resources())
+
 
 @attrs.frozen
 class OperatorChanges:
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -243,6 +243,8 @@
     async def update_leader(self, leader: Leader) -> None:
         """Pass changes that operators made to the leader, until cancelled."""
         applied: tuple | None = None
+        team_limits = leader.planner.team_limits
+        team_limits.is_pending = True
         while True:
             configuration = self.watcher.configuration
             version = configuration.version if configuration else None
@@ -255,6 +257,8 @@
                     leader.planner.guarantees = {
                         team.name: team.guaranteed_accelerators for team in configuration.teams
                     }
+                    limits = {team.name: team.limit for team in configuration.teams}
+                    team_limits.configure(limits, self.clock.now())
                 leader.scheduling_requested.set()
             await asyncio.sleep(0.1)
 
--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -38,8 +38,11 @@
         )
         self.watch_task: asyncio.Task | None = None
 
-    def configure(self, version: int = 1, keys: tuple[str, ...] = ("k1",)) -> None:
+    def configure(
+        self, version: int = 1, keys: tuple[str, ...] = ("k1",), limit: dict | None = None
+    ) -> None:
         value = encode_configuration(version, {"clinic": list(keys), "dairy": ["k9"]})
+        value["Tenants"][0]["MaxValue"] = limit
         self.store.apply(Transaction(puts=[Put("op/config", value)]))
 
     async def start(self) -> None:
@@ -130,6 +133,63 @@
         run_scenario(scenario)
 
 
+class TestTeamLimits:
+    GANG = json.dumps(
+        {"Spec": "text", "Phases": [{"Count": 5, "Gpu": 1, "GangScheduled": True}]}
+    ).encode()
+
+    def test_job_that_can_never_fit_its_team_s_limit_is_refused_and_not_stored(self):
+        async def scenario(harness):
+            harness.configure(2, limit={"Gpu": 4})
+            await asyncio.sleep(0.1)
+            response = await harness.submit(body=self.GANG)
+            assert response.status == 429
+            reason = json.loads(response.body)["Error"]
+            assert "not run: team 'clinic': step 0 needs 5 accelerators" in reason
+            assert "limit is 4" in reason
+            assert f"jobs/{JOB}" not in harness.store.rows
+            assert await harness.state() == 410
+
+        run_scenario(scenario)
+
+    def test_tasks_that_fit_one_after_another_are_accepted(self):
+        async def scenario(harness):
+            harness.configure(2, limit={"Gpu": 4})
+            await asyncio.sleep(0.1)
+            body = self.GANG.replace(b"true", b"false")
+            assert (await harness.submit(body=body)).status == 200
+
+        run_scenario(scenario)
+
+    def test_other_team_is_not_limited(self):
+        async def scenario(harness):
+            harness.configure(2, limit={"Gpu": 4})
+            await asyncio.sleep(0.1)
+            assert (await harness.submit(body=self.GANG, key="k9")).status == 200
+
+        run_scenario(scenario)
+
+    def test_job_that_was_accepted_before_the_limit_was_lowered_stays_accepted(self):
+        async def scenario(harness):
+            assert (await harness.submit(body=self.GANG)).status == 200
+            harness.configure(2, limit={"Gpu": 4})
+            await asyncio.sleep(0.1)
+            assert (await harness.submit(body=self.GANG)).status == 200
+            assert (await harness.submit(body=self.GANG.replace(b"text", b"x"))).status == 409
+            assert await harness.state() == "queued"
+
+        run_scenario(scenario)
+
+    def test_job_is_not_refused_for_its_size_while_the_store_cannot_tell_if_it_was_accepted(self):
+        async def scenario(harness):
+            harness.configure(2, limit={"Gpu": 4})
+            await asyncio.sleep(0.1)
+            harness.store.is_down = True
+            assert (await harness.submit(body=self.GANG)).status == 503
+
+        run_scenario(scenario)
+
+
 class TestKeys:
     def test_unknown_key(self):
         async def scenario(harness):
--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -293,6 +293,11 @@
             self.mark_runs_lost(worker)
         return expired
 
+    @property
+    def longest_lease_seconds(self) -> float:
+        """Longest time on the local clock for which a worker's lease may last."""
+        return self.lease_seconds * LEASE_DRIFT_FACTOR + LEASE_MARGIN_SECONDS
+
     def extend_lease(self, worker: Worker, now: float) -> int:
         """Extend the local record of a worker's lease by its full length.
 
@@ -302,8 +307,7 @@
         :param now: time on the local clock, in seconds.
         :returns: the end of the lease on the worker's clock, in milliseconds.
         """
-        until = now + self.lease_seconds * LEASE_DRIFT_FACTOR + LEASE_MARGIN_SECONDS
-        worker.lease_expires_at = max(worker.lease_expires_at, until)
+        worker.lease_expires_at = max(worker.lease_expires_at, now + self.longest_lease_seconds)
         return worker.estimated_clock(now) + int(self.lease_seconds * 1000)
 
     @property
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -30,6 +30,7 @@
 from jaypier.jobs.preemption import Fit, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
+from jaypier.scheduling.team_limits import TeamLimits
 
 PROVEN_SECONDS = 3.0
 """Age of the last success on a worker up to which it is preferred for work that has failed."""
@@ -83,6 +84,8 @@
     :ivar headroom: workers that are kept free for urgent jobs.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
+    :ivar team_limits: limits on what each team may have running.
+    :ivar guaranteed_jobs: ids of the waiting urgent jobs within their team's guarantee.
     """
 
     def __init__(
@@ -99,6 +102,8 @@
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
+        self.team_limits = TeamLimits()
+        self.guaranteed_jobs: set[str] = set()
 
     # Arrivals
 
@@ -134,6 +139,7 @@
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
+        self.team_limits.refresh(self.cluster_state, now)
         unplaceable: dict[tuple, int] = {}
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
@@ -143,13 +149,20 @@
                     continue
                 if is_non_preemptible and not self.preserves_guarantees(step, workers):
                     continue
-                signature = self.signature(step)
                 is_urgent = state.spec.priority == URGENT_PRIORITY
+                affordable = self.team_limits.affordable_tasks(step)
+                if affordable < len(step.waiting):
+                    stops += self.wait_for_team_limit(step, now, wall_time)
+                if affordable == 0:
+                    self.holds.release(step)
+                    continue
+                signature = self.signature(step)
                 is_suspected = bool(state.crash_suspects)
                 if step.spec.count < unplaceable.get(signature, math.inf):
                     started = self.place_step(step, workers, now)
                     starts += started
                     self.isolation.observe_starts(started)
+                    self.team_limits.observe_starts(started)
                     if not step.waiting:
                         self.holds.release(step)
                         continue
@@ -228,6 +241,8 @@
                 used[team] += need
                 covered.add(state.spec.id)
 
+        self.guaranteed_jobs = covered
+
         def sort_key(state: JobState) -> tuple:
             job = state.spec
             if job.id in covered:
@@ -404,6 +419,7 @@
         """
         suspects = step.job.crash_suspects
         waiting = sorted(step.waiting, key=lambda task: task.id not in suspects)
+        waiting = waiting[: self.team_limits.affordable_tasks(step)]
         never_failed = [task for task in waiting if not task.failed_on]
         chosen = assign_in_order(
             slots_by_fit(step.spec, candidates, free_of, self.tasks_per_worker(step)),
@@ -413,7 +429,7 @@
             self.assign_independent_task(step, task, worker, now)
             for task, worker in zip(never_failed, chosen, strict=False)
         ]
-        for task in [task for task in step.waiting if task.failed_on]:
+        for task in [task for task in waiting if task.failed_on]:
             choices = self.choices_for(candidates, task.failed_on, now)
             ranked = (
                 slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step))
@@ -476,6 +492,29 @@
             return []
         return self.preempt_for(step, workers, now)
 
+    def wait_for_team_limit(self, step: StepState, now: float, wall_time: float) -> list[Run]:
+        """Let a step wait that its team's limit keeps from starting in full.
+
+        A gang and an urgent step claim what the limit leaves. For an urgent step within its team's
+        guarantee, runs of its own team are stopped, unless enough of them end soon.
+
+        :param now: time on the local clock, in seconds.
+        :param wall_time: Unix time in seconds.
+        :returns: runs to stop.
+        """
+        self.team_limits.observe_blocked(step)
+        is_urgent = step.job.spec.priority == URGENT_PRIORITY
+        if not is_urgent and not step.spec.is_gang:
+            return []
+        claim = self.team_limits.claim(step)
+        is_guaranteed = step.job.spec.id in self.guaranteed_jobs
+        if claim is None or not is_guaranteed or step.job.crash_suspects:
+            return []
+        if can_wait(step, Fit(claim.fits_at - now, frozenset()), now, wall_time):
+            return []
+        victims = self.team_limits.runs_to_stop(step, self.restore_seconds)
+        return [run for run in victims if self.cluster_state.mark_stopping(run)]
+
     def preempt_for(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
         """Choose runs of lower priority to stop, so that an urgent step fits.
 
@@ -486,8 +525,10 @@
         free_of = self.free_resources_for(step)
         candidates = self.isolation.permitted(step, self.candidate_workers(step, workers, now))
         groups = group_by_rack(candidates).values() if step.spec.is_rack_local else [candidates]
+        affordable = self.team_limits.affordable_tasks(step)
         options = [
-            cheapest_preemption(step, group, free_of, self.restore_seconds, now) for group in groups
+            cheapest_preemption(step, group, free_of, self.restore_seconds, now, affordable)
+            for group in groups
         ]
         cheapest = min(
             (option for option in options if option is not None),
--- a/src/jaypier/jobs/preemption.py
+++ b/src/jaypier/jobs/preemption.py
@@ -107,6 +107,7 @@
     free_of: FreeResourcesOf,
     restore_seconds: float,
     now: float,
+    count: int | None = None,
 ) -> Preemption | None:
     """Return the cheapest set of runs to stop so that a step fits, ``None`` if there is none.
 
@@ -115,6 +116,7 @@
     :param free_of: returns the resources of a worker that the step may use.
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param now: time on the local clock, in seconds.
+    :param count: number of tasks that have to fit, ``None`` for all that wait.
     """
     slots: list[tuple[float, float, Worker, list[Run]]] = []
     chosen_by_step: Counter[StepState] = Counter()
@@ -145,7 +147,7 @@
                     for number in range(more - copies)
                 ]
                 copies, taken = more, []
-    needed = len(step.waiting)
+    needed = len(step.waiting) if count is None else count
     if len(slots) < needed:
         return None
     slots.sort(key=lambda slot: slot[0])
--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -123,6 +123,7 @@
     """Daemons that compete for the leadership of an in-memory cluster, in virtual time.
 
     :ivar clock_errors: error of each VM's wall clock in seconds, by name of the daemon.
+    :ivar team_limits: what each team may have running.
     """
 
     def __init__(self, cluster: MemoryCluster) -> None:
@@ -133,6 +134,7 @@
         self.leaders: dict[str, Leader] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.clock_errors: dict[str, float] = {}
+        self.team_limits: dict[str, Resources] = {}
 
     def wall_time(self, name: str) -> float:
         """Return Unix time in seconds by the clock of a VM."""
@@ -148,6 +150,14 @@
             leader.cluster_state.evacuated = self.evacuated
             leader.scheduling_requested.set()
 
+    def limit_teams(self, limits: dict[str, Resources]) -> None:
+        """Change what each team may have running."""
+        self.cluster.change_team_limits(limits)
+        self.team_limits = limits
+        for leader in self.leaders.values():
+            leader.planner.team_limits.configure(limits, self.clock.now())
+            leader.scheduling_requested.set()
+
     def start_daemon(self, name: str) -> None:
         """Start a daemon that takes part in elections."""
         self.tasks[name] = asyncio.create_task(self.run_daemon(name), name=name)
@@ -172,6 +182,7 @@
             )
             leader.cluster_state.evacuated = self.evacuated
             leader.cluster_state.unguarded_services = self.cluster.unguarded_services
+            leader.planner.team_limits.configure(self.team_limits, self.clock.now())
             self.leaders[name] = leader
             try:
                 await leader.run()
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -39,9 +39,15 @@
 """Seeds that failed before: a job failed after one crash (3024), or crashes were not counted, since
 the leader had changed or was without the store, or other tasks of a gang had crashed."""
 
+LIMIT_SEEDS = range(4000, 4012)
+"""Seeds that add to schedules, operators and random faults two teams with limits that change."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
+TEAM_LIMITS = {"team-a": Resources(0, 0, 48), "team-b": Resources(30_000, 40_000, 48)}
+"""Limits with which every job of the fuzz can run."""
+
 DAEMONS = ("vm-a", "vm-b", "vm-c")
 WORKERS = 8
 FAULT_PHASE_SECONDS = 40.0
@@ -54,10 +60,15 @@
     :param seed: seed of all random decisions.
     :param has_capacity_changes: whether capacities of workers change.
     :param has_crashing_jobs: whether some jobs crash the workers that start them.
+    :param has_team_limits: whether there are two teams with limits on what they may have running.
     """
 
     def __init__(
-        self, seed: int, has_capacity_changes: bool = False, has_crashing_jobs: bool = False
+        self,
+        seed: int,
+        has_capacity_changes: bool = False,
+        has_crashing_jobs: bool = False,
+        has_team_limits: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -75,6 +86,7 @@
         for worker in self.cluster.workers.values():
             worker.guards_capacity = not self.has_capacity_changes
         self.has_crashing_jobs = has_crashing_jobs
+        self.has_team_limits = has_team_limits
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -105,6 +117,9 @@
             faults += [self.change_capacity] * 4
         if self.has_crashing_jobs:
             faults += [self.replace_worker]
+        if self.has_team_limits:
+            self.harness.limit_teams(TEAM_LIMITS)
+            faults += [self.change_team_limits] * 3
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -114,6 +129,8 @@
             if self.rng.random() < 0.5:
                 fault_tasks.append(asyncio.create_task(self.rng.choice(faults)()))
         await asyncio.gather(*fault_tasks)
+        if self.has_team_limits:
+            self.harness.limit_teams(TEAM_LIMITS)
         for job_id in self.long_running_ids:
             self.cluster.cancel(job_id)
         await self.wait_for_jobs()
@@ -178,6 +195,8 @@
             )
         if self.has_schedules and job.is_repeatable and self.rng.random() < 0.5:
             job = self.add_schedule_or_long_run(job)
+        if self.has_team_limits:
+            job = attrs.evolve(job, team=self.rng.choice(sorted(TEAM_LIMITS)))
         if self.has_crashing_jobs and self.rng.random() < 0.15:
             self.cluster.crashing.add_job(job)
         self.cluster.submit(job)
@@ -302,6 +321,12 @@
         await self.pause()
         worker.change_capacity(capacity)
 
+    async def change_team_limits(self) -> None:
+        team = self.rng.choice(sorted(TEAM_LIMITS))
+        limit = Resources(0, 0, self.rng.choice((0, 1, 4, 16, 40)))
+        self.harness.limit_teams({**self.harness.team_limits, team: limit})
+        await self.pause()
+
     async def compact_store(self) -> None:
         self.cluster.store.compact()
 
@@ -326,6 +351,10 @@
     def test_invariants_hold_beside_crashing_jobs(self, seed):
         run_seed(seed, has_crashing_jobs=True)
 
+    @pytest.mark.parametrize("seed", LIMIT_SEEDS)
+    def test_invariants_hold_while_team_limits_change(self, seed):
+        run_seed(seed, has_team_limits=True)
+
 
 def find_failure(seed: int, **features: bool) -> str | None:
     """Return the failure of a seed, ``None`` if it passes; for manual runs with many seeds."""
--- a/src/jaypier/platform/operators.py
+++ b/src/jaypier/platform/operators.py
@@ -1,5 +1,6 @@
 """Decodes what operators write to the store: the configuration, data centres out of service."""
 
+import math
 from typing import Any
 
 from jaypier.entry.configuration import (
@@ -8,6 +9,7 @@
     Route,
     Team,
 )
+from jaypier.jobs.model import Resources
 from jaypier.platform.abstract import TableSource, WatchableTable
 from jaypier.platform.errors import PlatformUnavailable
 from jaypier.platform.model import Changes
@@ -61,14 +63,7 @@
     return Configuration(
         version=int(value["Version"]),
         routes=tuple(_decode_route(route) for route in value.get("Routes", ())),
-        teams=tuple(
-            Team(
-                team["Name"],
-                frozenset(team.get("ApiKeys", ())),
-                int((team.get("Guaranteed") or {}).get("Gpu", 0)),
-            )
-            for team in value.get("Tenants", ())
-        ),
+        teams=tuple(_decode_team(team) for team in value.get("Tenants", ())),
         limits=_decode_limits(value.get("Limits", {})),
         unguarded_services=frozenset(
             service["Name"]
@@ -78,6 +73,25 @@
     )
 
 
+def _decode_team(team: dict[str, Any]) -> Team:
+    limit = team.get("MaxValue") or {}
+    return Team(
+        team["Name"],
+        frozenset(team.get("ApiKeys", ())),
+        int((team.get("Guaranteed") or {}).get("Gpu", 0)),
+        Resources(*(_decode_amount(limit.get(name)) for name in ("Cpu", "MemMb", "Gpu"))),
+        _decode_amount(team.get("Weight"), float),
+    )
+
+
+def _decode_amount(value: Any, kind: type = int) -> int | float:
+    """Decode a number that is not negative, 0 if it is missing."""
+    amount = kind(value or 0)
+    if not 0 <= amount < math.inf:
+        raise ValueError(f"{value!r} is not an amount")
+    return amount
+
+
 def _decode_route(route: dict[str, Any]) -> Route:
     return Route(
         host=route["Host"],
--- a/src/jaypier/platform/tests/test_operators.py
+++ b/src/jaypier/platform/tests/test_operators.py
@@ -1,5 +1,6 @@
 import pytest
 
+from jaypier.jobs.model import Resources
 from jaypier.platform.errors import PlatformUnavailable
 from jaypier.platform.model import Changes, Row
 from jaypier.platform.operators import decode_changes
@@ -30,6 +31,22 @@
         configuration = decode_changes(Changes([Row("op/config", value, 3)], 3)).configuration
         assert configuration.unguarded_services == {"open"}
 
+    def test_limits_and_weights_of_teams(self):
+        value = encode_configuration(7, {"clinic": ["k1"], "dairy": [], "sorting": []})
+        value["Tenants"][0] |= {
+            "MaxValue": {"Cpu": 64000, "MemMb": 128000, "Gpu": 8},
+            "Weight": 2.5,
+        }
+        value["Tenants"][1] |= {"MaxValue": {"Gpu": 4}, "Weight": None}
+        configuration = decode_changes(Changes([Row("op/config", value, 3)], 3)).configuration
+        assert [(team.limit, team.weight) for team in configuration.teams] == [
+            (Resources(64000, 128000, 8), 2.5),
+            (Resources(0, 0, 4), 0.0),
+            (Resources(), 0.0),
+        ]
+        assert configuration.limit_of("dairy") == Resources(0, 0, 4)
+        assert configuration.limit_of("nobody") == Resources()
+
     def test_data_centres_out_of_service(self):
         assert decode_changes(Changes(ROWS, 6)).out_of_service == {"dc-a": True, "dc-b": False}
 
@@ -45,6 +62,11 @@
             {"Version": 1, "Routes": [None]},
             {"Version": 1, "Routes": [{"Host": "a"}]},
             {"Version": 1, "Tenants": [{"Name": "a", "ApiKeys": 7}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "MaxValue": 7}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "MaxValue": {"Gpu": "few"}}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "MaxValue": {"Gpu": -1}}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "Weight": "high"}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "Weight": -0.5}]},
             {"Version": 1, "Limits": "none"},
             {"Version": 1, "Services": [{"AdmissionControl": True}, {}]},
         ],
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -97,6 +97,11 @@
 """Round-trip time of a request to a worker."""
 
 
+LIMIT_PROPAGATION_SECONDS = 3.0
+"""Time after which a lowered limit of a team holds for all starts. The platform's specification has
+the same limit."""
+
+
 class MemoryStore(WatchableTable):
     """In-memory store with a change feed and configurable disruptions.
 
@@ -340,6 +345,12 @@
     )
 
 
+def is_within_limit(amount: Resources, limit: Resources) -> bool:
+    """Whether no resource of an amount exceeds a limit, in which 0 stands for none."""
+    pairs = zip(attrs.astuple(amount), attrs.astuple(limit), strict=True)
+    return all(used <= bound or bound == 0 for used, bound in pairs)
+
+
 @attrs.define(eq=False)
 class WorkerRun:
     """An active run on a simulated worker.
@@ -692,6 +703,10 @@
     :ivar acknowledged_ends: number of the last acknowledged end of each worker.
     :ivar violations: violated invariants, each as a line of text.
     :ivar cancelled_at: time at which each job was cancelled, in seconds.
+    :ivar team_limits: what each team may have running, without an entry or 0 for no limit.
+    :ivar earlier_team_limits: limits before the current ones, each with the virtual time in seconds
+        at which they changed.
+    :ivar teams: team of each job that has started, by id of the job.
     :ivar max_early_start_seconds: tolerance for occurrences that start before they are due.
     :ivar evacuated_at: time at which each data centre was taken out of service, in seconds.
     :ivar draining_since: time at which each draining worker began to drain, in seconds.
@@ -725,6 +740,9 @@
         self.draining_since: dict[str, float] = {}
         self.is_executing_late_request = False
         self.crashing = CrashingTasks(self)
+        self.team_limits: dict[str, Resources] = {}
+        self.earlier_team_limits: list[tuple[float, dict[str, Resources]]] = []
+        self.teams: dict[str, str] = {}
         self.ports = itertools.count(1000)
 
     def add_worker(
@@ -851,6 +869,7 @@
             self.violations.append(f"{now:.2f} {run.task} starts before it is due")
         self.check_not_draining(worker, run, now)
         self.check_capacity(worker, run, now)
+        self.check_team_limit(run, now)
         self.check_single_start(run, now)
         for number in run.step.after:
             self.check_dependency(run, number, now)
@@ -892,6 +911,41 @@
                 f"capacity {capacities[-1]}"
             )
 
+    def change_team_limits(self, limits: dict[str, Resources]) -> None:
+        """Change what each team may have running."""
+        now = asyncio.get_running_loop().time()
+        self.earlier_team_limits.append((now, self.team_limits))
+        self.team_limits = limits
+
+    def check_team_limit(self, run: WorkerRun, now: float) -> None:
+        """Check that a start does not bring what its team has running above the team's limit.
+
+        A limit that was lowered recently may still be used; for a request that is executed late,
+        also one that was lowered since it was sent.
+        """
+        since = now - LIMIT_PROPAGATION_SECONDS
+        if self.is_executing_late_request:
+            since -= MAX_REQUEST_DELAY_SECONDS
+        earlier = [limits for until, limits in self.earlier_team_limits if until >= since]
+        team = self.team_of(run.task)
+        limits = [each.get(team, Resources()) for each in (*earlier, self.team_limits)]
+        if Resources() in limits:
+            return
+        active = (each for worker in self.workers.values() for each in worker.active.values())
+        used = sum(
+            (each.step.demand for each in active if self.team_of(each.task) == team), Resources()
+        )
+        if not any(is_within_limit(used, limit) for limit in limits):
+            self.violations.append(
+                f"{now:.2f} {run.task} brings team {team} to {used}, over its limit {limits[-1]}"
+            )
+
+    def team_of(self, task: TaskId) -> str:
+        """Return the team of a task, read from the row of its job."""
+        if task.job_id not in self.teams:
+            self.teams[task.job_id] = decode_job_row(self.store.rows[job_key(task.job_id)]).team
+        return self.teams[task.job_id]
+
     def check_single_start(self, run: WorkerRun, now: float) -> None:
         """Check that a task of a non-repeatable job has not worked before.
 
