--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -41,14 +41,19 @@
 
 UNCLEAR_START_SEEDS = range(4000, 4012)
 """Seeds that add to the faults of the schedule seeds start and stop requests that are executed
-late, start responses that are lost, and refusals of a run whose earlier start request is still under
-way."""
+late, start responses that are lost, and refusals of a run whose earlier start request is still on
+its way."""
 
 REFUSALS = tuple(each for each in StartResponse if each is not StartResponse.STARTED)
+LIMIT_SEEDS = range(4000, 4012)
+"""Seeds that add to schedules, operators and random faults two teams with limits that change."""
 
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
+TEAM_LIMITS = {"team-a": Resources(0, 0, 48), "team-b": Resources(30_000, 40_000, 48)}
+"""Limits with which every job of the fuzz can run."""
+
 DAEMONS = ("vm-a", "vm-b", "vm-c")
 WORKERS = 8
 FAULT_PHASE_SECONDS = 40.0
@@ -62,6 +67,7 @@
     :param has_capacity_changes: whether capacities of workers change.
     :param has_crashing_jobs: whether some jobs crash the workers that start them.
     :param has_unclear_starts: whether start requests are delayed and refused meanwhile.
+    :param has_team_limits: whether there are two teams with limits on what they may have running.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         has_capacity_changes: bool = False,
         has_crashing_jobs: bool = False,
         has_unclear_starts: bool = False,
+        has_team_limits: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -88,6 +95,7 @@
             worker.guards_capacity = not self.has_capacity_changes
         self.has_crashing_jobs = has_crashing_jobs
         self.has_unclear_starts = has_unclear_starts
+        self.has_team_limits = has_team_limits
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -120,6 +128,9 @@
             faults += [self.replace_worker]
         if self.has_unclear_starts:
             faults += [self.delay_starts] * 8
+        if self.has_team_limits:
+            self.harness.limit_teams(TEAM_LIMITS)
+            faults += [self.change_team_limits] * 3
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -129,6 +140,8 @@
             if self.rng.random() < 0.5:
                 fault_tasks.append(asyncio.create_task(self.rng.choice(faults)()))
         await asyncio.gather(*fault_tasks)
+        if self.has_team_limits:
+            self.harness.limit_teams(TEAM_LIMITS)
         for job_id in self.long_running_ids:
             self.cluster.cancel(job_id)
         await self.wait_for_jobs()
@@ -193,6 +206,8 @@
             )
         if self.has_schedules and job.is_repeatable and self.rng.random() < 0.5:
             job = self.add_schedule_or_long_run(job)
+        if self.has_team_limits:
+            job = attrs.evolve(job, team=self.rng.choice(sorted(TEAM_LIMITS)))
         if self.has_crashing_jobs and self.rng.random() < 0.15:
             self.cluster.crashing.add_job(job)
         self.cluster.submit(job)
@@ -327,6 +342,12 @@
         await self.pause()
         worker.change_capacity(capacity)
 
+    async def change_team_limits(self) -> None:
+        team = self.rng.choice(sorted(TEAM_LIMITS))
+        limit = Resources(0, 0, self.rng.choice((0, 1, 4, 16, 40)))
+        self.harness.limit_teams({**self.harness.team_limits, team: limit})
+        await self.pause()
+
     async def compact_store(self) -> None:
         self.cluster.store.compact()
 
@@ -355,6 +376,10 @@
     def test_invariants_hold_beside_unclear_starts(self, seed):
         run_seed(seed, has_unclear_starts=True)
 
+    @pytest.mark.parametrize("seed", LIMIT_SEEDS)
+    def test_invariants_hold_while_team_limits_change(self, seed):
+        run_seed(seed, has_team_limits=True)
+
 
 def find_failure(seed: int, **features: bool) -> str | None:
     """Return the failure of a seed, ``None`` if it passes; for manual runs with many seeds."""
