Learn durations of tasks and speeds of workers from runs

Change: scheduling/durations.py fits the durations of each queue to its estimates and corrects a step by its own tasks; scheduling/speeds.py compares the runs of one step. Remaining time, critical paths and the time objective use expected durations: callers count the objective by the work that a job takes. Adopted runs no longer count for the accuracy of estimates, as their start is not known.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -26,6 +26,8 @@
 )
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
 from jaypier.jobs.stragglers import EstimateAccuracy, sample_speed, update_slow_worker
+from jaypier.scheduling.durations import DurationModel
+from jaypier.scheduling.speeds import WorkerSpeeds
 
 LEASE_DRIFT_FACTOR = 1.03
 """Factor from the length of a lease on a worker's clock to its longest possible length on the local
@@ -99,6 +101,8 @@
     :ivar cancelled: ids of cancelled jobs, which may be ahead of the jobs' own rows.
     :ivar orphans: unknown jobs that workers have reported, by id.
     :ivar estimate_accuracy: accuracy of run time estimates by queue.
+    :ivar durations: expected durations of steps.
+    :ivar speeds: speeds of workers.
     :ivar crashes: crashes of workers and the tasks that may have caused them.
     """
 
@@ -115,6 +119,8 @@
         self.cancelled: set[str] = set()
         self.orphans: dict[str, OrphanedJob] = {}
         self.estimate_accuracy: dict[str, EstimateAccuracy] = defaultdict(EstimateAccuracy)
+        self.durations = DurationModel()
+        self.speeds = WorkerSpeeds()
         self.crashes = CrashRecord(self)
 
     # Jobs
@@ -154,6 +160,7 @@
     def insert_job(self, state: JobState) -> None:
         """Add a job with its progress; cancel it if it was cancelled before."""
         self.jobs[state.spec.id] = state
+        self.durations.expect(state.steps)
         if state.spec.id in self.cancelled:
             self.cancel_job(state.spec.id)
 
@@ -186,6 +193,7 @@
             return
         for number in range(state.next_occurrence, min(task.occurrence + 1, state.spec.repeats)):
             state.open_occurrence(number)
+            self.durations.expect(state.occurrences[number])
 
     def find_task(self, task: TaskId) -> tuple[StepState, TaskState] | None:
         """Return the step and task with an id, or ``None`` when there is no such task."""
@@ -217,6 +225,7 @@
                 and state.spec.earliest_start_at(state.next_occurrence) <= wall_time
             ):
                 state.open_occurrence(state.next_occurrence)
+                self.durations.expect(state.occurrences[state.next_occurrence - 1])
                 self.dirty_jobs.add(state.spec.id)
                 has_opened = True
         return has_opened
@@ -240,6 +249,7 @@
             self.workers[entry.id] = worker
         worker.update_entry(entry, now)
         worker.is_registered = True
+        self.speeds.observe_registration(worker)
         if not entry.is_ready:
             self.crashes.observe_draining(worker)
         return worker
@@ -321,7 +331,7 @@
         :param attempt: attempt number of the run.
         :param now: time on the local clock, in seconds.
         """
-        run = Run(task.id, attempt, worker, step, now)
+        run = Run(task.id, attempt, worker, step, now, is_timed=not task.checkpoint)
         task.run = run
         worker.allocate(run)
         state = step.job
@@ -449,7 +459,8 @@
         run.reports_conclusive_after = min(run.reports_conclusive_after, sent_at)
         if active.percent > run.percent or run.last_progress_at == math.inf:
             run.percent, run.last_progress_at = active.percent, now
-        sample_speed(run, now)
+        if sample_speed(run, now):
+            self.durations.observe_progress(run.step, now)
         if run.is_on_probation or run.task in run.step.job.crash_suspects:
             self.crashes.observe_work(run, now)
         if active.checkpoint:
@@ -476,6 +487,7 @@
             return None
         run = self.assign_task(step, task, worker, active.attempt, now)
         run.start_deadline = worker.clock
+        run.is_timed = False
         self.extend_lease(worker, now)
         return run
 
@@ -505,9 +517,8 @@
             for each in step.tasks if step.spec.is_gang else [task]:
                 each.checkpoint = end.checkpoint
         if end.outcome is RunOutcome.DONE:
-            if run is not None and not task.checkpoint and not step.spec.is_gang:
-                accuracy = self.estimate_accuracy[state.spec.queue]
-                accuracy.record(step.spec.estimated_seconds, now - run.started_at)
+            if run is not None and run.is_timed and not task.is_done:
+                self.observe_duration(run, now)
             worker.consecutive_failures = 0
             worker.last_success_at = now
             worker.avoid_until = -math.inf
@@ -519,6 +530,24 @@
             self.end_unrepeatable_job(state)
         self.dirty_jobs.add(state.spec.id)
 
+    def observe_duration(self, run: Run, now: float) -> None:
+        """Learn from the duration of a run that has succeeded.
+
+        The end of a run on a worker that was silent was reported late and tells nothing.
+
+        :param now: time on the local clock, in seconds.
+        """
+        step, queue, seconds = run.step, run.step.job.spec.queue, now - run.started_at
+        if not step.spec.is_gang:
+            self.estimate_accuracy[queue].record(step.spec.estimated_seconds, seconds)
+        if run.worker.silent_since != -math.inf:
+            return
+        self.speeds.observe_end(run, seconds, self.durations.ended_logs(step))
+        if self.durations.observe_end(run, seconds, now):
+            for state in self.jobs.values():
+                if state.spec.queue == queue and not state.status.is_final:
+                    self.durations.expect(state.steps)
+
     def finish_task(self, step: StepState, task: TaskState) -> None:
         """Record the success of a task, which is that of its whole gang.
 
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -45,6 +45,8 @@
     :param is_confirmed: whether the worker has confirmed that the run started.
     :param is_on_probation: whether a crash of the worker would be attributed to the run, among
         others: this leader has started it, and it has not worked for long.
+    :param is_timed: whether ``now - started_at`` is its duration when it succeeds: this leader has
+        started it, without a checkpoint.
     :param is_stopping: whether the run has been marked to be stopped.
     :param percent: newest reported progress in percent.
     :param last_progress_at: time on the local clock, in seconds, at which the progress last
@@ -65,6 +67,7 @@
     reports_conclusive_after: float = math.inf
     is_confirmed: bool = False
     is_on_probation: bool = False
+    is_timed: bool = False
     is_stopping: bool = False
     percent: float = 0.0
     last_progress_at: float = math.inf
@@ -89,11 +92,11 @@
         """
         if self.step.spec.lasts:
             return math.inf
+        duration = self.step.expected_seconds / self.worker.speed
         if self.relative_speed:
-            estimate = self.step.spec.estimated_seconds / min(4.0, max(0.25, self.relative_speed))
-        else:
-            estimate = self.step.expected_seconds / self.worker.speed
-        return max(0.1, estimate * (1 - self.percent / 100) - max(0.0, now - self.last_progress_at))
+            measured = self.step.spec.estimated_seconds / self.relative_speed
+            duration = min(4.0 * duration, max(0.25 * duration, measured))
+        return max(0.1, duration * (1 - self.percent / 100) - max(0.0, now - self.last_progress_at))
 
     def lost_core_seconds(self, now: float, restore_seconds: float) -> float:
         """Return the core-seconds of work that are lost if the run is stopped.
@@ -298,6 +301,19 @@
         """Current runs of all its tasks."""
         return (run for step in self.steps for run in step.runs)
 
+    @property
+    def objective_seconds(self) -> float:
+        """Time in seconds within which the job should complete, by its expected durations.
+
+        Callers count it by the work that the job turns out to take, not by their estimates. It
+        counts from acceptance, or from the due time of an occurrence.
+        """
+        if not self.occurrences:
+            return self.spec.objective_seconds
+        steps = self.occurrences[min(self.occurrences)]
+        chain_seconds = critical_path(self.spec.steps, [step.expected_seconds for step in steps])
+        return self.spec.slack_factor * chain_seconds + self.spec.target_seconds
+
     def remaining_core_seconds(self) -> float:
         """Return the estimated core-seconds of all tasks in open occurrences that are not done."""
         return sum(
--- a/src/jaypier/jobs/stragglers.py
+++ b/src/jaypier/jobs/stragglers.py
@@ -21,8 +21,8 @@
 """Minimum time between two samples of a run's progress: slightly less than the report interval."""
 
 MIN_SAMPLE_SHARE = 0.08
-"""Minimum time between two samples as a share of the task's estimate, so that progress in whole
-percents is precise enough."""
+"""Minimum time between two samples as a share of the task's expected duration, so that progress in
+whole percents is precise enough."""
 
 SLOW_RELATIVE_SPEED = 0.3
 """Speed relative to the estimate below which a worker is slow. Reliable estimates are within a
@@ -52,7 +52,7 @@
 """Minimum time without progress after which a run is stalled: two reports in succession."""
 
 STALL_SHARE = 0.1
-"""That time as a share of the task's estimate, used where it is longer."""
+"""That time as a share of the task's expected duration, used where it is longer."""
 
 OVERDUE_PERCENT = 99.0
 """Progress in percent from which a run is about to end."""
@@ -61,7 +61,7 @@
 """Minimum time for which such a run may stay without ending: one report."""
 
 OVERDUE_SHARE = 0.05
-"""That time as a share of the task's estimate, used where it is longer."""
+"""That time as a share of the task's expected duration, used where it is longer."""
 
 RESTART_COST_SHARE = 1.0
 """Time for which a stalled run is left alone as a share of the working time that a restart would
@@ -105,22 +105,25 @@
         )
 
 
-def sample_speed(run: Run, now: float) -> None:
+def sample_speed(run: Run, now: float) -> bool:
     """Update a run's relative speed from its progress since the previous sample.
 
     :param now: time on the local clock, in seconds.
+    :returns: whether there is a new sample.
     """
     if now < run.started_at + WARM_UP_SECONDS:
-        return
+        return False
     if run.sampled_at > now:
         run.sampled_percent, run.sampled_at = run.percent, now
-        return
+        return False
     estimate = run.step.spec.estimated_seconds
     elapsed = now - run.sampled_at
-    if estimate <= 0 or elapsed < max(MIN_SAMPLE_SECONDS, MIN_SAMPLE_SHARE * estimate):
-        return
+    min_elapsed = max(MIN_SAMPLE_SECONDS, MIN_SAMPLE_SHARE * run.step.expected_seconds)
+    if estimate <= 0 or elapsed < min_elapsed:
+        return False
     run.relative_speed = (run.percent - run.sampled_percent) / 100 * estimate / elapsed
     run.sampled_percent, run.sampled_at = run.percent, now
+    return True
 
 
 def update_slow_worker(
@@ -205,10 +208,10 @@
     much to lose. The time counts up to the newest report: a worker that is silent, or whose reports
     this leader has not read yet, may be working.
     """
-    estimate = run.step.spec.estimated_seconds
-    stall_seconds = max(STALL_SECONDS, STALL_SHARE * estimate)
+    expected = run.step.expected_seconds
+    stall_seconds = max(STALL_SECONDS, STALL_SHARE * expected)
     if run.percent >= OVERDUE_PERCENT:
-        stall_seconds = max(OVERDUE_SECONDS, OVERDUE_SHARE * estimate)
+        stall_seconds = max(OVERDUE_SECONDS, OVERDUE_SHARE * expected)
     last_change_at = run.started_at if run.percent == 0 else run.last_progress_at
     if not run.step.spec.saves:
         is_urgent = run.step.job.spec.priority == URGENT_PRIORITY
--- a/src/jaypier/jobs/tests/load_player.py
+++ b/src/jaypier/jobs/tests/load_player.py
@@ -61,6 +61,9 @@
     :param gang_share: share of the jobs whose tasks are a gang.
     :param local_share: share of the gangs that have to stay in one rack.
     :param checkpoint_share: share of the jobs that write checkpoints.
+    :param estimate_factor: largest error of the estimate as a share of the true duration, in
+        place of ``estimate_error``.
+    :param tail_share: share of the jobs that take ``tail_factor`` times as long.
     :param burst: factor on arrivals between ``burst_start`` and ``burst_end``, in seconds.
     """
 
@@ -86,6 +89,9 @@
     burst: float = 1.0
     burst_start: float = 0.0
     burst_end: float = 0.0
+    estimate_factor: float = 0.0
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
 
 
 @attrs.frozen
@@ -93,6 +99,7 @@
     """A load and the workers that it meets.
 
     :param seconds: time during which jobs arrive.
+    :param speeds: speeds that the workers have in turn.
     """
 
     kinds: tuple[JobKind, ...]
@@ -102,6 +109,7 @@
     seconds: float
     teams: int = 4
     guaranteed: int = 16
+    speeds: tuple[float, ...] = (1.0,)
 
 
 @attrs.define(eq=False)
@@ -140,6 +148,8 @@
     :param wasted: core-seconds of stopped runs that no checkpoint kept, as a share of all work.
     :param stops: number of runs that were stopped.
     :param windows: mean worth of the two worst windows of a sixth of the time each.
+    :param duration_error: mean absolute logarithm of expected over true duration at speed 1, when
+        runs were started.
     """
 
     worth: float
@@ -148,6 +158,7 @@
     wasted: float
     stops: int
     windows: float
+    duration_error: float
 
 
 def draw_jobs(load: Load, seed: int) -> list[PlayedJob]:
@@ -178,15 +189,25 @@
     return rng.lognormvariate(math.log(mean) - spread * spread / 2, spread)
 
 
+def draw_estimate_ratio(kind: JobKind, rng: random.Random) -> float:
+    """Return the estimate of a job of a kind relative to its duration."""
+    error = rng.uniform(-1, 1)
+    if kind.estimate_factor:
+        return 1 + error * kind.estimate_factor
+    return math.exp(error * kind.estimate_error)
+
+
 def draw_job(load: Load, kind: JobKind, rng: random.Random, now: float, number: int) -> PlayedJob:
     """Return one job of a kind."""
     count = max(1, min(kind.max_width, round(draw_lognormal(rng, kind.width, 0.8))))
     seconds = min(kind.max_work_seconds, draw_lognormal(rng, kind.work_seconds, kind.work_spread))
+    if kind.tail_share and rng.random() < kind.tail_share:
+        seconds *= kind.tail_factor
     is_gang = rng.random() < kind.gang_share
     step = Step(
         count=count,
         demand=Resources(kind.processor_millis, kind.memory_mb, rng.choice(kind.accelerators)),
-        estimated_seconds=seconds * math.exp(rng.uniform(-1, 1) * kind.estimate_error),
+        estimated_seconds=seconds * draw_estimate_ratio(kind, rng),
         saves=rng.random() < kind.checkpoint_share,
         is_gang=is_gang,
         is_rack_local=is_gang and rng.random() < kind.local_share,
@@ -222,9 +243,12 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
         self.cluster_state = ClusterState(1, LEASE_SECONDS)
+        self.speeds: dict[str, float] = {}
+        self.duration_errors: list[float] = []
         for number in range(load.workers):
             rack = f"rack-{number // load.workers_per_rack}"
             entry = make_entry(f"worker-{number:03}", rack, capacity=load.capacity)
+            self.speeds[entry.id] = load.speeds[number % len(load.speeds)]
             self.cluster_state.register_worker(entry, 0.0).is_reconciled = True
         self.planner = make_planner(self.cluster_state)
         self.planner.guarantees = {
@@ -294,8 +318,12 @@
             return
         racks = {each.worker.entry.rack for each in step.runs}
         is_remote = step.spec.is_rack_local and len(racks) > 1
-        for each in step.runs if step.spec.is_gang else [run]:
+        runs = step.runs if step.spec.is_gang else [run]
+        pace = min(self.speeds[each.worker.id] for each in runs)
+        for each in runs:
             seconds = self.jobs[each.task.job_id].durations[step.number][each.task.index]
+            self.duration_errors.append(abs(math.log(step.expected_seconds / seconds)))
+            seconds /= pace
             seconds *= REMOTE_FACTOR if is_remote else 1.0
             seconds *= 1 - self.done_share[each.task]
             restore = RESTORE_SECONDS if self.done_share[each.task] else 0.0
@@ -412,6 +440,7 @@
             wasted=self.wasted / total,
             stops=self.stops,
             windows=mean_of(worst),
+            duration_error=mean_of(self.duration_errors),
         )
 
 
--- a/src/jaypier/jobs/valuation.py
+++ b/src/jaypier/jobs/valuation.py
@@ -115,7 +115,7 @@
         slack = slack_seconds(state, wall_time)
         if slack >= 0:
             return 1.0
-        tolerated_delay = (self.settings.max_late_multiple - 1) * state.spec.objective_seconds
+        tolerated_delay = (self.settings.max_late_multiple - 1) * state.objective_seconds
         return self.settings.late_share if -slack <= tolerated_delay else EXPIRED_VALUE_SHARE
 
     def urgency(self, state: JobState, wall_time: float) -> float:
@@ -136,4 +136,4 @@
     :param wall_time: Unix time in seconds.
     """
     age = wall_time - state.earliest_start_at
-    return state.spec.objective_seconds - age - state.remaining_critical_path_seconds()
+    return state.objective_seconds - age - state.remaining_critical_path_seconds()
