Keep what a leader has learned over takeovers

Cause: durations and speeds were lost with the leader.

Change: row learned/learned with sections by name, written beside other rows at most every 5 s and only after a noticeable change; the next leader drops it when it is an hour old or cannot be decoded.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -154,6 +154,8 @@
                 }
                 for worker in leader.cluster_state.workers.values()
             }
+            state["estimates"] = leader.cluster_state.durations.describe()
+            state["known_speeds"] = leader.cluster_state.speeds.to_record()
         return state
 
     def describe(self) -> DaemonState:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -16,6 +16,7 @@
 from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
+from jaypier.jobs.learned import LEARNED_KEY, LearnedState
 from jaypier.jobs.model import StartRequest, StartResponse, TaskId, WorkerEntry
 from jaypier.jobs.planning import Planner
 from jaypier.jobs.progress_writer import ProgressWriter, SavedWorker
@@ -112,6 +113,7 @@
     :ivar elected_at: time on the local clock, in seconds, at which the leadership began.
     :ivar has_reconciled: whether every worker has reported to this leader or can have no active
         run of an earlier one.
+    :ivar learned: what it has learned of the load and of the workers.
     :ivar is_loaded: whether the state has been read from the store.
     :ivar jobs_version: version of the store up to which all rows of jobs have been applied.
     :ivar workers_version: the same for the entries of workers.
@@ -141,6 +143,9 @@
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
         self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
+        self.learned = LearnedState(
+            {"durations": self.cluster_state.durations, "speeds": self.cluster_state.speeds}
+        )
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
@@ -200,6 +205,9 @@
         jobs = await self.table.snapshot(JOBS_TABLE)
         progress = await self.table.snapshot(PROGRESS_TABLE)
         listing = await self.read_workers()
+        learned = await self.table.read(LEARNED_KEY)
+        value = None if learned is None else learned.value
+        self.learned.restore(value, self.clock.now(), self.wall_clock())
         changes = decode_job_rows(jobs.rows, jobs.version)
         self.cluster_state.cancelled.update(changes.cancelled)
         for state in restore_jobs(changes.accepted, progress.rows):
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -27,6 +27,9 @@
 MAX_JOBS_PER_WRITE = 60
 """Progress rows of one write; leaves room for rows of workers and the numbers of queued jobs."""
 
+LEARNED_ROWS = 1
+"""Rows of one write that are left for what the leader has learned."""
+
 MAX_WRITE_BYTES = 1 << 17
 """Total length of the values of one write: in base64 it takes 0.3 s to send at 5 Mbit/s, so that a
 lost response is noticed before other daemons take over."""
@@ -92,10 +95,14 @@
         recorded = [(state.spec.id, str(state.status)) for state in states]
         started = [state for state in states if state.has_started]
         puts += self.pending_puts()
-        current, worker_puts, deletes = self.worker_changes(MAX_ROWS_PER_WRITE - len(puts))
+        row_limit = MAX_ROWS_PER_WRITE - len(puts) - LEARNED_ROWS
+        current, worker_puts, deletes = self.worker_changes(row_limit)
         puts += worker_puts
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
         if puts or deletes or renew:
+            puts += leader.learned.due_puts(
+                leader.clock.now(), leader.wall_clock(), leader.table.max_row_bytes
+            )
             await leader.writer.write(puts, deletes, renew)
         self.saved_workers = current
         for job_id, status in recorded:
--- a/src/jaypier/scheduling/durations.py
+++ b/src/jaypier/scheduling/durations.py
@@ -17,6 +17,7 @@
 import attrs
 
 from jaypier.jobs.state import Run, StepState
+from jaypier.scheduling.learned_section import LearnedSection
 
 PRIOR_STEPS = 4.0
 """Number of steps with exact estimates that the fit of a queue starts from."""
@@ -153,7 +154,7 @@
     is_sampled: bool = False
 
 
-class DurationModel:
+class DurationModel(LearnedSection):
     """Expected durations of steps.
 
     :ivar fits: what is known of each queue.
--- a/src/jaypier/scheduling/speeds.py
+++ b/src/jaypier/scheduling/speeds.py
@@ -16,6 +16,7 @@
 from jaypier.jobs.model import Resources, WorkerEntry
 from jaypier.jobs.state import Run, Worker
 from jaypier.scheduling.durations import MAX_COMPARED_RUNS, projected_durations
+from jaypier.scheduling.learned_section import LearnedSection
 
 MIN_SPEED, MAX_SPEED = 0.25, 4.0
 """Range of the speeds that are assumed; what is slower is in trouble."""
@@ -111,7 +112,7 @@
         self.count -= 1
 
 
-class WorkerSpeeds:
+class WorkerSpeeds(LearnedSection):
     """Sets the speeds of workers.
 
     :ivar records: what is known of workers that have shown their speed, by id.
