--- a/src/jaypier/jobs/learned.py
+++ b/src/jaypier/jobs/learned.py
@@ -104,7 +104,9 @@
         self.recorded = {name: section.to_record() for name, section in self.sections.items()}
         value = make_value(self.recorded, wall_time)
         if encoded_size(value) > max_bytes:
-            value = make_value(largest_left_out(self.recorded, max_bytes), wall_time)
+            value = make_value(without_largest(self.recorded, max_bytes), wall_time)
+        entries = {name: len(record) for name, record in value["sections"].items()}
+        log.info("learned state recorded", bytes=encoded_size(value), entries=entries)
         return [Put(LEARNED_KEY, value)]
 
 
@@ -116,7 +118,7 @@
     return {"version": RECORD_VERSION, "written_at": round(wall_time), "sections": sections}
 
 
-def largest_left_out(sections: dict[str, Any], max_bytes: int) -> dict[str, Any]:
+def without_largest(sections: dict[str, Any], max_bytes: int) -> dict[str, Any]:
     """Return sections without the largest ones, so that the row has at most ``max_bytes``."""
     kept = dict(sections)
     while kept and encoded_size(make_value(kept, 0.0)) + len("0000000000") > max_bytes:
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -100,9 +100,7 @@
         puts += worker_puts
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
         if puts or deletes or renew:
-            puts += leader.learned.due_puts(
-                leader.clock.now(), leader.wall_clock(), leader.table.max_row_bytes
-            )
+            puts += self.learned_puts()
             await leader.writer.write(puts, deletes, renew)
         self.saved_workers = current
         for job_id, status in recorded:
@@ -198,6 +196,15 @@
         self.saved_pending, self.pending_saved_at = pending, now
         return [Put(PENDING_KEY, pending)]
 
+    def learned_puts(self) -> list[Put]:
+        """Return the row with what the leader has learned if it has changed and it is due."""
+        leader = self.leader
+        puts = leader.learned.due_puts(
+            leader.clock.now(), leader.wall_clock(), leader.table.max_row_bytes
+        )
+        leader.metrics.count("leader.learned_records", len(puts))
+        return puts
+
     def worker_changes(self, limit: int) -> tuple[dict[str, SavedWorker], list[Put], list[str]]:
         """Return the changes that the next write makes to the rows of workers.
 
--- a/src/jaypier/scheduling/durations.py
+++ b/src/jaypier/scheduling/durations.py
@@ -302,7 +302,7 @@
                 ),
                 "expected_error": round(math.sqrt(fit.variance), 3),
             }
-            for queue, fit in self.fits.items()
+            for queue, fit in itertools.islice(self.fits.items(), MAX_RECORDED_QUEUES)
             if fit.count
         }
 
