--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -59,6 +59,10 @@
 """Maximum number of tasks in the open occurrences of one job beyond the first one: about 25 MB of
 the leader's memory."""
 
+MAX_START_SECONDS = 0.5
+"""Longest time from the assignment of a run to its confirmed start with which its duration tells how
+long its task takes."""
+
 ATTEMPTS_PER_EPOCH = 64
 """Number of attempt numbers reserved for each epoch, so that two leaders never use the same one."""
 
@@ -533,14 +537,16 @@
     def observe_duration(self, run: Run, now: float) -> None:
         """Learn from the duration of a run that has succeeded.
 
-        The end of a run on a worker that was silent was reported late and tells nothing.
+        A run whose start was confirmed late, or whose worker was silent, tells nothing: its begin
+        or its end is not known.
 
         :param now: time on the local clock, in seconds.
         """
         step, queue, seconds = run.step, run.step.job.spec.queue, now - run.started_at
         if not step.spec.is_gang:
             self.estimate_accuracy[queue].record(step.spec.estimated_seconds, seconds)
-        if run.worker.silent_since != -math.inf:
+        start_seconds = run.reports_conclusive_after - run.started_at
+        if start_seconds > MAX_START_SECONDS or run.worker.silent_since != -math.inf:
             return
         self.speeds.observe_end(run, seconds, self.durations.ended_logs(step))
         if self.durations.observe_end(run, seconds, now):
--- a/src/jaypier/jobs/tests/test_cluster_state.py
+++ b/src/jaypier/jobs/tests/test_cluster_state.py
@@ -1,3 +1,5 @@
+import math
+
 from jaypier.jobs.cluster_state import ATTEMPTS_PER_EPOCH
 from jaypier.jobs.model import JobStatus, RunOutcome, StartResponse, TaskId
 from jaypier.jobs.progress import record_progress, restore_job
@@ -257,3 +259,63 @@
         assert [task.checkpoint for task in tasks] == ["", "", "saved"]
         assert restored.highest_attempt == 3
         assert restored.status is JobStatus.RUNNING
+
+
+class TestDurations:
+    """Which runs tell how long their tasks take."""
+
+    def end_run(
+        self, confirmed_at: float = 0.01, checkpoint: str = "", silent_since: float = -math.inf
+    ) -> bool:
+        """End a run that took 3 times as long as estimated; return whether anything was learned."""
+        cluster_state = make_cluster_state()
+        worker = cluster_state.workers["worker-00"]
+        step = cluster_state.add_job(make_job(make_step(seconds=2.0))).steps[0]
+        step.tasks[0].checkpoint = checkpoint
+        run = cluster_state.assign_task(step, step.tasks[0], worker, 1, 0.0)
+        cluster_state.apply_start_response(run, StartResponse.STARTED, confirmed_at)
+        worker.silent_since = silent_since
+        end = make_ended_run(1, run.task, RunOutcome.DONE)
+        apply_report(cluster_state, worker, 6.0, ends=[end])
+        assert step.is_done
+        return bool(cluster_state.durations.fits)
+
+    def test_run_from_start_to_end_counts(self):
+        assert self.end_run()
+
+    def test_run_from_a_checkpoint_does_not(self):
+        assert not self.end_run(checkpoint="saved")
+
+    def test_run_whose_start_was_confirmed_late_does_not(self):
+        assert not self.end_run(confirmed_at=2.0)
+
+    def test_run_whose_worker_was_silent_does_not(self):
+        assert not self.end_run(silent_since=4.0)
+
+    def test_adopted_run_does_not(self):
+        cluster_state = make_cluster_state()
+        worker = cluster_state.workers["worker-00"]
+        state = cluster_state.add_job(make_job(make_step(seconds=2.0)), may_have_started=True)
+        task = state.steps[0].tasks[0].id
+        apply_report(cluster_state, worker, 1.0, runs=[make_active_run(task, 7)])
+        apply_report(
+            cluster_state, worker, 6.0, ends=[make_ended_run(1, task, RunOutcome.DONE, attempt=7)]
+        )
+        assert state.steps[0].is_done
+        assert not cluster_state.durations.fits
+
+    def test_waiting_jobs_of_the_queue_are_assessed_again(self):
+        cluster_state = make_cluster_state()
+        worker = cluster_state.workers["worker-00"]
+        waiting = cluster_state.add_job(make_job(make_step(seconds=2.0))).steps[0]
+        other = cluster_state.add_job(make_job(make_step(seconds=2.0), queue="other/")).steps[0]
+        for number in range(1, 9):
+            step = cluster_state.add_job(make_job(make_step(seconds=2.0))).steps[0]
+            now = 10.0 * number
+            run = cluster_state.assign_task(step, step.tasks[0], worker, 1, now)
+            cluster_state.apply_start_response(run, StartResponse.STARTED, now)
+            end = make_ended_run(number, run.task, RunOutcome.DONE)
+            apply_report(cluster_state, worker, now + 4.0, ends=[end])
+        assert waiting.expected_seconds > 2.0 * 1.2
+        assert waiting.job.objective_seconds > waiting.job.spec.objective_seconds
+        assert other.expected_seconds == 2.0
