--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -28,6 +28,8 @@
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker, new_job_state
 from jaypier.jobs.stragglers import EstimateAccuracy, sample_speed, update_slow_worker
 from jaypier.jobs.worker_interface import MAX_ENDS_PER_REPORT
+from jaypier.scheduling.durations import DurationModel
+from jaypier.scheduling.speeds import WorkerSpeeds
 
 LEASE_DRIFT_FACTOR = 1.03
 """Factor from the length of a lease on a worker's clock to its longest possible length on the local
@@ -59,6 +61,10 @@
 """Maximum number of tasks in the open occurrences of one job beyond the first one: about 25 MB of
 the leader's memory."""
 
+MAX_START_SECONDS = 0.5
+"""Longest time from the assignment of a run to its confirmed start with which its duration tells how
+long its task takes."""
+
 ATTEMPTS_PER_EPOCH = 64
 """Number of attempt numbers reserved for each epoch, so that two leaders never use the same one."""
 
@@ -101,6 +107,8 @@
     :ivar cancelled: ids of cancelled jobs, which may be ahead of the jobs' own rows.
     :ivar orphans: unknown jobs that workers have reported, by id.
     :ivar estimate_accuracy: accuracy of run time estimates by queue.
+    :ivar durations: expected durations of steps.
+    :ivar speeds: speeds of workers.
     :ivar crashes: crashes of workers and the tasks that may have caused them.
     """
 
@@ -117,6 +125,8 @@
         self.cancelled: set[str] = set()
         self.orphans: dict[str, OrphanedJob] = {}
         self.estimate_accuracy: dict[str, EstimateAccuracy] = defaultdict(EstimateAccuracy)
+        self.durations = DurationModel()
+        self.speeds = WorkerSpeeds()
         self.crashes = CrashRecord(self)
 
     # Jobs
@@ -156,6 +166,7 @@
     def insert_job(self, state: JobState) -> None:
         """Add a job with its progress; cancel it if it was cancelled before."""
         self.jobs[state.spec.id] = state
+        self.durations.expect(state.steps)
         if state.spec.id in self.cancelled:
             self.cancel_job(state.spec.id)
 
@@ -188,6 +199,7 @@
             return
         for number in range(state.next_occurrence, min(task.occurrence + 1, state.spec.repeats)):
             state.open_occurrence(number)
+            self.durations.expect(state.occurrences[number])
 
     def find_task(self, task: TaskId) -> tuple[StepState, TaskState] | None:
         """Return the step and task with an id, or ``None`` when there is no such task."""
@@ -219,6 +231,7 @@
                 and state.spec.earliest_start_at(state.next_occurrence) <= wall_time
             ):
                 state.open_occurrence(state.next_occurrence)
+                self.durations.expect(state.occurrences[state.next_occurrence - 1])
                 self.dirty_jobs.add(state.spec.id)
                 has_opened = True
         return has_opened
@@ -242,6 +255,7 @@
             self.workers[entry.id] = worker
         worker.update_entry(entry, now)
         worker.is_registered = True
+        self.speeds.observe_registration(worker)
         if not entry.is_ready:
             self.crashes.observe_draining(worker)
         return worker
@@ -327,7 +341,7 @@
         :param attempt: attempt number of the run.
         :param now: time on the local clock, in seconds.
         """
-        run = Run(task.id, attempt, worker, step, now)
+        run = Run(task.id, attempt, worker, step, now, is_timed=not task.checkpoint)
         task.run = run
         worker.allocate(run)
         state = step.job
@@ -463,7 +477,8 @@
         run.reports_conclusive_after = min(run.reports_conclusive_after, sent_at)
         if active.percent > run.percent or run.last_progress_at == math.inf:
             run.percent, run.last_progress_at = active.percent, now
-        sample_speed(run, now)
+        if sample_speed(run, now):
+            self.durations.observe_progress(run.step, now)
         if run.is_on_probation or run.task in run.step.job.crash_suspects:
             self.crashes.observe_work(run, now)
         if active.checkpoint:
@@ -490,6 +505,7 @@
             return None
         run = self.assign_task(step, task, worker, active.attempt, now)
         run.start_deadline = worker.clock
+        run.is_timed = False
         self.extend_lease(worker, now)
         return run
 
@@ -519,9 +535,8 @@
             for each in step.tasks if step.spec.is_gang else [task]:
                 each.checkpoint = end.checkpoint
         if end.outcome is RunOutcome.DONE:
-            if run is not None and not task.checkpoint and not step.spec.is_gang:
-                accuracy = self.estimate_accuracy[state.spec.queue]
-                accuracy.record(step.spec.estimated_seconds, now - run.started_at)
+            if run is not None and run.is_timed and not task.is_done:
+                self.observe_duration(run, now)
             worker.consecutive_failures = 0
             worker.last_success_at = now
             worker.avoid_until = -math.inf
@@ -533,6 +548,26 @@
             self.end_unrepeatable_job(state)
         self.dirty_jobs.add(state.spec.id)
 
+    def observe_duration(self, run: Run, now: float) -> None:
+        """Learn from the duration of a run that has succeeded.
+
+        A run whose start was confirmed late, or whose worker was silent, tells nothing: its begin
+        or its end is not known.
+
+        :param now: time on the local clock, in seconds.
+        """
+        step, queue, seconds = run.step, run.step.job.spec.queue, now - run.started_at
+        if not step.spec.is_gang:
+            self.estimate_accuracy[queue].record(step.spec.estimated_seconds, seconds)
+        start_seconds = run.reports_conclusive_after - run.started_at
+        if start_seconds > MAX_START_SECONDS or run.worker.silent_since != -math.inf:
+            return
+        self.speeds.observe_end(run, seconds, self.durations.ended_logs(step))
+        if self.durations.observe_end(run, seconds, now):
+            for state in self.jobs.values():
+                if state.spec.queue == queue and not state.status.is_final:
+                    self.durations.expect(state.steps)
+
     def finish_task(self, step: StepState, task: TaskState) -> None:
         """Record the success of a task, which is that of its whole gang.
 
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -27,6 +27,9 @@
 MAX_JOBS_PER_WRITE = 60
 """Progress rows of one write; leaves room for rows of workers and the numbers of queued jobs."""
 
+LEARNED_ROWS = 1
+"""Rows of one write that are left for what the leader has learned."""
+
 MAX_WRITE_BYTES = 1 << 17
 """Total length of the values of one write: in base64 it takes 0.3 s to send at 5 Mbit/s, so that a
 lost response is noticed before other daemons take over."""
@@ -92,10 +95,12 @@
         recorded = [(state.spec.id, str(state.status)) for state in states]
         started = [state for state in states if state.has_started]
         puts += self.pending_puts()
-        current, worker_puts, deletes = self.worker_changes(MAX_ROWS_PER_WRITE - len(puts))
+        row_limit = MAX_ROWS_PER_WRITE - len(puts) - LEARNED_ROWS
+        current, worker_puts, deletes = self.worker_changes(row_limit)
         puts += worker_puts
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
         if puts or deletes or renew:
+            puts += self.learned_puts()
             await leader.writer.write(puts, deletes, renew)
         self.saved_workers = current
         for job_id, status in recorded:
@@ -191,6 +196,15 @@
         self.saved_pending, self.pending_saved_at = pending, now
         return [Put(PENDING_KEY, pending)]
 
+    def learned_puts(self) -> list[Put]:
+        """Return the row with what the leader has learned if it has changed and it is due."""
+        leader = self.leader
+        puts = leader.learned.due_puts(
+            leader.clock.now(), leader.wall_clock(), leader.table.max_row_bytes
+        )
+        leader.metrics.count("leader.learned_records", len(puts))
+        return puts
+
     def worker_changes(self, limit: int) -> tuple[dict[str, SavedWorker], list[Put], list[str]]:
         """Return the changes that the next write makes to the rows of workers.
 
