Release notes: limit and weight of a team

Cause: operators who use release notes could not set what the platform's configuration can.

Change: teams of notes have the fields limit and weight, checked with errors that name the team; a job of a note that can never run within its team's limit is refused.

--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -145,8 +145,10 @@
             response = await harness.submit(body=self.GANG)
             assert response.status == 429
             reason = json.loads(response.body)["Error"]
-            assert "not run: team 'clinic': step 0 needs 5 accelerators" in reason
-            assert "limit is 4" in reason
+            assert reason == (
+                "not run: the limit of team 'clinic' is exceeded: "
+                "step 0 needs 5 accelerators at once, and the limit is 4"
+            )
             assert f"jobs/{JOB}" not in harness.store.rows
             assert await harness.state() == 410
 
--- a/src/jaypier/notes/model.py
+++ b/src/jaypier/notes/model.py
@@ -60,17 +60,36 @@
         return self.tasks * self.accelerators_per_task
 
 
+@attrs.frozen
+class TeamLimit:
+    """What a team may have running on all workers together; 0 stands for no limit.
+
+    :param accelerators: number of accelerators.
+    :param processors: number of cores.
+    :param memory_gb: memory, in GB.
+    """
+
+    accelerators: int = 0
+    processors: int = 0
+    memory_gb: int = 0
+
+
 @attrs.frozen
 class Team:
     """A team and its guaranteed capacity.
 
     :param guarantee: shapes that are guaranteed to the team at the same time.
     :param keys: API keys of its callers.
+    :param limit: what it may have running.
+    :param weight: jobs a second that make up its share when all capacity is in use, 0 for an equal
+        share.
     """
 
     name: str = attrs.field(validator=_validate_name)
     guarantee: list[GuaranteedShape] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=list, repr=False)
+    limit: TeamLimit = attrs.field(factory=TeamLimit)
+    weight: float = 0.0
 
     @property
     def guaranteed_accelerators(self) -> int:
--- a/src/jaypier/notes/tests/builders.py
+++ b/src/jaypier/notes/tests/builders.py
@@ -24,9 +24,9 @@
     return structure_strictly({"id": note_id, **sections}, ReleaseNote)
 
 
-def team_value(name: str, *shapes: dict, keys: tuple[str, ...] = ()) -> dict:
+def team_value(name: str, *shapes: dict, keys: tuple[str, ...] = (), **values: Any) -> dict:
     """Return the plain JSON value of a team."""
-    return {"name": name, "guarantee": list(shapes), "keys": list(keys)}
+    return {"name": name, "guarantee": list(shapes), "keys": list(keys), **values}
 
 
 def shape_value(name: str, tasks: int, accelerators: int, adjacency: str = "rack") -> dict:
--- a/src/jaypier/notes/tests/test_service.py
+++ b/src/jaypier/notes/tests/test_service.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jaypier.jobs.model import JobStatus
+from jaypier.jobs.model import JobStatus, Resources
 from jaypier.notes.cache import HEAD_KEY
 from jaypier.notes.service import MAX_TRANSACTION_ROWS, NoteStatus
 from jaypier.notes.tests.builders import job_value, make_note, run_scenario, shape_value, team_value
@@ -99,6 +99,31 @@
                 {"changed": {"teams": [team_value("clinic", *2 * [shape_value("x", 1, 1)])]}},
                 "names shape 'x' 2 times",
             ),
+            (
+                {"changed": {"teams": [team_value("clinic", limit={"accelerators": -1})]}},
+                "teams/clinic has limit.accelerators -1",
+            ),
+            (
+                {"changed": {"teams": [team_value("clinic", weight=-0.5)]}},
+                "teams/clinic has weight -0.5",
+            ),
+            (
+                {
+                    "changed": {
+                        "teams": [
+                            team_value("clinic", shape_value("x", 2, 4), limit={"accelerators": 4})
+                        ]
+                    }
+                },
+                "teams/clinic is guaranteed 8 accelerators, more than its limit of 4",
+            ),
+            (
+                {
+                    "changed": {"teams": [team_value("clinic", limit={"accelerators": 4})]},
+                    "added": {"jobs": [job_value("sort", tasks=5)]},
+                },
+                "jobs/sort can never run: the limit of team 'clinic' is exceeded: step 0 needs 5",
+            ),
         ],
     )
     def test_error_is_named_and_nothing_changes(self, sections, text):
@@ -132,6 +157,20 @@
         run_scenario(scenario)
 
 
+class TestLimits:
+    def test_limit_and_weight_are_part_of_the_configuration(self):
+        async def scenario(harness):
+            limit = {"accelerators": 4, "processors": 16, "memory_gb": 32}
+            team = team_value("clinic", limit=limit, weight=2.5)
+            assert_accepted(await harness.submit(make_note("a", added={"teams": [team]})), 1)
+            await harness.settle()
+            for daemon in harness.daemons:
+                (team,) = daemon.watcher.configuration.teams
+                assert (team.limit, team.weight) == (Resources(16000, 32000, 4), 2.5)
+
+        run_scenario(scenario)
+
+
 class TestGuarantees:
     def test_shapes_of_all_teams_must_fit_together(self):
         async def scenario(harness):
--- a/src/jaypier/notes/translation.py
+++ b/src/jaypier/notes/translation.py
@@ -3,7 +3,7 @@
 from jaypier.entry import configuration as entry
 from jaypier.jobs import model as core
 from jaypier.notes.cache import EntityCache
-from jaypier.notes.model import Adjacency, Job
+from jaypier.notes.model import Adjacency, Job, TeamLimit
 
 QUEUES_PREFIX = "/v1/queues/"
 """Path prefix of the queues of release notes."""
@@ -41,12 +41,23 @@
         for queue in cache.queues.values()
     )
     teams = tuple(
-        entry.Team(team.name, frozenset(team.keys), team.guaranteed_accelerators)
+        entry.Team(
+            team.name,
+            frozenset(team.keys),
+            team.guaranteed_accelerators,
+            build_limit(team.limit),
+            team.weight,
+        )
         for team in cache.teams.values()
     )
     return entry.Configuration(cache.version, routes, teams)
 
 
+def build_limit(limit: TeamLimit) -> core.Resources:
+    """Return what a team may have running, as resources of the scheduler."""
+    return core.Resources(limit.processors * 1000, limit.memory_gb * 1000, limit.accelerators)
+
+
 def build_job(job: Job, job_id: str, submitted_at: float) -> core.Job:
     """Return the scheduler job for a job of a note.
 
--- a/src/jaypier/notes/validation.py
+++ b/src/jaypier/notes/validation.py
@@ -8,6 +8,11 @@
 
 from jaypier.notes.cache import EntityCache
 from jaypier.notes.model import ENTITY_KINDS, ReleaseNote, touched_keys, written_entities
+from jaypier.notes.translation import build_job, build_limit
+from jaypier.scheduling.team_limits import explain_excess
+
+MAX_LIMIT = 1_000_000_000
+"""Largest limit and weight of a team, far beyond any deployment."""
 
 
 class RefusalKind(StrEnum):
@@ -47,7 +52,9 @@
         *_find_missing_teams(note, cache, ended),
         *_find_repeated_shapes(note),
         *_find_shared_keys(note, cache),
+        *_find_invalid_limits(note),
     ]
+    errors = errors or _find_excessive_jobs(note, cache)
     if errors:
         return Error(NoteRefusal(RefusalKind.INVALID, errors))
     return Ok(None)
@@ -125,6 +132,41 @@
     ]
 
 
+def _find_invalid_limits(note: ReleaseNote) -> list[str]:
+    """Find limits and weights of teams that are out of range or below the team's guarantee."""
+    teams = written_entities(note, "teams")
+    errors = [
+        f"teams/{team.name} has {name} {value!r}; use 0 for none, or at most {MAX_LIMIT}"
+        for team in teams
+        for name, value in [
+            *((f"limit.{name}", value) for name, value in attrs.asdict(team.limit).items()),
+            ("weight", team.weight),
+        ]
+        if not 0 <= value <= MAX_LIMIT
+    ]
+    return errors + [
+        f"teams/{team.name} is guaranteed {team.guaranteed_accelerators} accelerators, more than "
+        f"its limit of {team.limit.accelerators}; raise the limit or guarantee less"
+        for team in teams
+        if 0 < team.limit.accelerators < team.guaranteed_accelerators
+    ]
+
+
+def _find_excessive_jobs(note: ReleaseNote, cache: EntityCache) -> list[str]:
+    """Find jobs that can never run within the limits of their teams."""
+    teams = cache.entities_after(note, "teams")
+    excesses = [
+        (job, explain_excess(job.team, build_job(job, job.name, 0.0).steps, limit))
+        for job in written_entities(note, "jobs")
+        for limit in [build_limit(teams[job.team].limit)]
+    ]
+    return [
+        f"jobs/{job.name} can never run: {excess}; make it smaller or raise the limit"
+        for job, excess in excesses
+        if excess
+    ]
+
+
 def _find_shared_keys(note: ReleaseNote, cache: EntityCache) -> list[str]:
     """Find API keys that several teams would have once the note is applied."""
     teams = cache.entities_after(note, "teams").values()
--- a/src/jaypier/scheduling/team_limits.py
+++ b/src/jaypier/scheduling/team_limits.py
@@ -277,5 +277,6 @@
             for name, label in RESOURCE_NAMES
             if 0 < getattr(limit, name) < tasks * getattr(step.demand, name)
         ]
-        return f"team {team!r}: step {number} needs {'; '.join(excesses)}"
+        needs = "; ".join(excesses)
+        return f"the limit of team {team!r} is exceeded: step {number} needs {needs}"
     return ""
--- a/src/jaypier/scheduling/tests/test_team_limits.py
+++ b/src/jaypier/scheduling/tests/test_team_limits.py
@@ -332,12 +332,16 @@
 
     def test_gang_that_needs_more_than_the_limit(self):
         reason = explain_excess("clinic", [make_step(), make_step(5, is_gang=True)], self.LIMIT)
-        assert reason == ("team 'clinic': step 1 needs 5 accelerators at once, and the limit is 4")
+        assert reason == (
+            "the limit of team 'clinic' is exceeded: "
+            "step 1 needs 5 accelerators at once, and the limit is 4"
+        )
 
     def test_task_that_needs_more_than_the_limit(self):
         step = Step(1, Resources(9000, 1, 5), 1.0)
         assert explain_excess("clinic", [step], self.LIMIT) == (
-            "team 'clinic': step 0 needs 5 accelerators at once, and the limit is 4; "
+            "the limit of team 'clinic' is exceeded: "
+            "step 0 needs 5 accelerators at once, and the limit is 4; "
             "9000 thousandths of a core at once, and the limit is 8000"
         )
 
