Order by room, cost of a stop by what callers lose, expired jobs on leftover room

Cause: value counted against core-seconds with an accelerator as 8 cores, although on the new sheets memory or processors bind first; victims of preemption were chosen by core-seconds alone; jobs without any value left could start before others and hold workers.

Change: scheduling/rooms.py has the share of a typical worker that a task keeps from others (its dominant share); the score is value per worker-second of room. A stop costs the value of the work that is lost and of a time objective that is missed. An urgent job that is late already and not covered by its team's guarantee stops nothing that is worth more. Long-running jobs are never late.

--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -1,8 +1,9 @@
 """Scheduling decisions: which tasks start where, and which runs are preempted for them.
 
-Accelerators are the scarce resource. On the heaviest days demand exceeds capacity by a third, and
-in bursts it is twice the capacity. Jobs are therefore ordered by value per remaining core-second.
-Urgent jobs within their team's guarantee come first and may preempt others.
+On the heaviest days demand exceeds capacity by a third, and in bursts it is twice as much. Jobs
+are therefore ordered by value for the room that they still need. Urgent jobs within their team's
+guarantee come first and may preempt others. Jobs that can be worth nothing any more run on room
+that nothing else needs.
 """
 
 import math
@@ -27,9 +28,10 @@
     place_gang,
     slots_by_fit,
 )
-from jaypier.jobs.preemption import Fit, can_wait, cheapest_preemption, earliest_fit
+from jaypier.jobs.preemption import Fit, StopCosts, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
+from jaypier.scheduling.rooms import ContendedPools
 
 PROVEN_SECONDS = 3.0
 """Age of the last success on a worker up to which it is preferred for work that has failed."""
@@ -78,6 +80,7 @@
 
     :ivar valuation: scores jobs.
     :ivar guarantees: guaranteed accelerators by team.
+    :ivar covered: ids of the waiting urgent jobs that their teams' guarantees cover.
     :ivar holds: workers held for waiting gangs; other tasks only start there if they are expected
         to end before the gang can start.
     :ivar headroom: workers that are kept free for urgent jobs.
@@ -98,6 +101,7 @@
         self.headroom = Headroom()
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
+        self.covered: set[str] = set()
         self.reservations: list[Reservation] = []
 
     # Arrivals
@@ -131,13 +135,18 @@
         workers = self.usable_workers(now)
         if not workers:
             return Plan([], [])
+        self.valuation.observe_workers(workers)
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
         unplaceable: dict[tuple, int] = {}
+        contended = ContendedPools()
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
             is_non_preemptible = not state.spec.is_preemptible
+            is_expired = self.is_worthless(state, wall_time)
+            if is_expired and contended.contains(state.spec.service, workers):
+                continue
             for step in state.steps:
                 if not step.is_startable or not step.waiting:
                     continue
@@ -155,15 +164,25 @@
                         continue
                     if not started:
                         unplaceable[signature] = step.spec.count if step.spec.is_gang else 0
-                        if is_suspected or (step.spec.is_gang and not is_urgent):
+                        is_waiting_gang = step.spec.is_gang and not is_urgent and not is_expired
+                        if is_suspected or is_waiting_gang:
                             self.hold_workers(step, workers, now)
                 has_no_room = not step.runs and not self.has_reservation(step)
-                may_preempt = is_urgent and has_no_room and not is_suspected
+                if not is_expired:
+                    contended.add(state.spec.service)
+                may_preempt = is_urgent and has_no_room and not is_suspected and not is_expired
                 if may_preempt and preempting_steps < MAX_PREEMPTING_STEPS:
                     preempting_steps += 1
                     stops += self.make_room(step, workers, now, wall_time)
         return Plan(starts, stops)
 
+    def is_worthless(self, state: JobState, wall_time: float) -> bool:
+        """Whether a job can be worth nothing any more and no guarantee covers it.
+
+        :param wall_time: Unix time in seconds.
+        """
+        return state.spec.id not in self.covered and self.valuation.is_expired(state, wall_time)
+
     def has_reservation(self, step: StepState) -> bool:
         """Whether capacity is being freed for the step."""
         return any(each.step is step for each in self.reservations)
@@ -198,8 +217,9 @@
         """Return the jobs that may start tasks, in scheduling order.
 
         Urgent jobs within their team's guarantee come first, those of teams with smaller guarantees
-        before others. All other jobs follow by descending score. Jobs that an earlier leader may
-        have started are left out until all workers have been reconciled.
+        before others. All other jobs follow by descending score, those that can be worth nothing
+        any more last. Jobs that an earlier leader may have started are left out until all workers
+        have been reconciled.
 
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
@@ -227,13 +247,15 @@
             if used[team] + need <= self.guarantees.get(team, 0):
                 used[team] += need
                 covered.add(state.spec.id)
+        self.covered = covered
 
         def sort_key(state: JobState) -> tuple:
             job = state.spec
             if job.id in covered:
                 guaranteed = self.guarantees.get(job.team, 0)
                 return (0, guaranteed, job.submitted_at, job.id)
-            return (1, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
+            group = 2 if self.valuation.is_expired(state, wall_time) else 1
+            return (group, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
 
@@ -474,21 +496,25 @@
         if can_wait(step, fit, now, wall_time):
             self.holds.hold_for_now(fit, now)
             return []
-        return self.preempt_for(step, workers, now)
+        return self.preempt_for(step, workers, now, wall_time)
 
-    def preempt_for(self, step: StepState, workers: list[Worker], now: float) -> list[Run]:
+    def preempt_for(
+        self, step: StepState, workers: list[Worker], now: float, wall_time: float
+    ) -> list[Run]:
         """Choose runs of lower priority to stop, so that an urgent step fits.
 
         The capacity that they free is reserved for the step. Returns the newly marked runs only.
+        For a job that is late already and that its team's guarantee does not cover, none are
+        stopped if their callers lose more than its caller gains.
 
         :param now: time on the local clock, in seconds.
+        :param wall_time: Unix time in seconds.
         """
         free_of = self.free_resources_for(step)
         candidates = self.isolation.permitted(step, self.candidate_workers(step, workers, now))
         groups = group_by_rack(candidates).values() if step.spec.is_rack_local else [candidates]
-        options = [
-            cheapest_preemption(step, group, free_of, self.restore_seconds, now) for group in groups
-        ]
+        costs = StopCosts(self.valuation, self.restore_seconds, now, wall_time)
+        options = [cheapest_preemption(step, group, free_of, costs.of) for group in groups]
         cheapest = min(
             (option for option in options if option is not None),
             key=lambda option: option.cost,
@@ -496,6 +522,11 @@
         )
         if cheapest is None:
             return []
+        is_late = self.valuation.value_share(step.job, wall_time) < 1.0
+        is_covered = step.job.spec.id in self.covered
+        loses_more = cheapest.cost > self.valuation.value_now(step.job, wall_time)
+        if is_late and loses_more and not is_covered:
+            return []
         self.reservations.append(Reservation(step, cheapest.reserved, now + RESERVATION_SECONDS))
         to_stop = dict.fromkeys(
             each
--- a/src/jaypier/jobs/preemption.py
+++ b/src/jaypier/jobs/preemption.py
@@ -1,19 +1,22 @@
 """Preemption: chooses runs of lower priority to stop, so that an urgent step fits.
 
 Answers bursts of urgent jobs on full workers. Stopped work is lost unless it writes checkpoints, so
-an urgent step that fits in time when current runs end waits for them instead.
+an urgent step that fits in time when current runs end waits for them instead. Otherwise those runs
+are stopped whose callers lose least, by the value of their jobs, their time objectives and the work
+that has to be done again.
 """
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
 from jaypier.jobs.model import Resources
 from jaypier.jobs.placement import FreeResourcesOf, max_tasks_on
 from jaypier.jobs.state import Run, StepState, Worker
-from jaypier.jobs.valuation import slack_seconds
+from jaypier.jobs.valuation import MIN_ROOM_SECONDS, Valuation, slack_seconds
+from jaypier.scheduling.rooms import room_share, total_room_seconds
 
 MAX_WAIT_SECONDS = 1.0
 """Longest time for which an urgent job waits for current runs to end before others are preempted:
@@ -22,8 +25,9 @@
 WAIT_MARGIN_SECONDS = 0.3
 """Slack that must be left after the wait: the time of a report, a pass and a start."""
 
-STOP_COST_CORE_SECONDS = 1.0
-"""Cost of a stop beyond the work that is lost."""
+STOP_DELAY_SECONDS = 1.0
+"""Time until a stopped run starts again, at least: a stop, a report and a pass. That much work also
+counts as lost by a stop."""
 
 
 @attrs.frozen
@@ -42,7 +46,7 @@
 class Preemption:
     """Runs to stop for a step.
 
-    :param cost: cost in core-seconds.
+    :param cost: value that callers lose, in the unit of ``ValueSettings.priority_weights``.
     :param victims: runs to stop; a gang is stopped as a whole.
     :param reserved: resources to reserve for the step, by worker id.
     """
@@ -105,16 +109,14 @@
     step: StepState,
     workers: Iterable[Worker],
     free_of: FreeResourcesOf,
-    restore_seconds: float,
-    now: float,
+    cost_of: Callable[[Run], float],
 ) -> Preemption | None:
     """Return the cheapest set of runs to stop so that a step fits, ``None`` if there is none.
 
     Runs are chosen greedily by their cost for each task slot that they free.
 
     :param free_of: returns the resources of a worker that the step may use.
-    :param restore_seconds: time that a worker needs to restore a checkpoint.
-    :param now: time on the local clock, in seconds.
+    :param cost_of: returns the cost of stopping a run.
     """
     slots: list[tuple[float, float, Worker, list[Run]]] = []
     chosen_by_step: Counter[StepState] = Counter()
@@ -124,7 +126,7 @@
         slots += [(0.0, 0.0, worker, []) for _ in range(copies)]
         victims = sorted(
             (run for run in worker.runs.values() if can_preempt(run, step)),
-            key=lambda run: (stop_cost(run, restore_seconds, now), str(run.task)),
+            key=lambda run: (cost_of(run), str(run.task)),
         )
         taken: list[Run] = []
         order = 0.0
@@ -136,7 +138,7 @@
             taken.append(run)
             more = max_tasks_on(step.spec, worker, free)
             if more > copies:
-                cost = sum(stop_cost(each, restore_seconds, now) for each in taken)
+                cost = sum(cost_of(each) for each in taken)
                 cost /= more - copies
                 # A later slot needs the victims of the earlier ones as well.
                 order = max(order, cost)
@@ -166,16 +168,59 @@
     return run.is_stopping or is_lower
 
 
-def stop_cost(run: Run, restore_seconds: float, now: float) -> float:
-    """Return the cost of stopping a run, with its whole gang, in lost core-seconds.
-
-    A run that is being stopped already costs nothing.
+class StopCosts:
+    """What the callers of running jobs lose if runs are stopped, within one scheduling pass.
 
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param now: time on the local clock, in seconds.
+    :param wall_time: Unix time in seconds.
     """
-    if run.is_stopping:
-        return 0.0
-    runs = run.step.runs if run.step.spec.is_gang else [run]
-    lost = sum(each.lost_core_seconds(now, restore_seconds) for each in runs)
-    return lost + STOP_COST_CORE_SECONDS
+
+    def __init__(
+        self, valuation: Valuation, restore_seconds: float, now: float, wall_time: float
+    ) -> None:
+        self.valuation = valuation
+        self.restore_seconds = restore_seconds
+        self.now = now
+        self.wall_time = wall_time
+        self.costs: dict[Run | StepState, float] = {}
+
+    def of(self, run: Run) -> float:
+        """Return the cost of stopping a run, with its whole gang.
+
+        A run that is being stopped already costs nothing.
+        """
+        if run.is_stopping:
+            return 0.0
+        key = run.step if run.step.spec.is_gang else run
+        if key not in self.costs:
+            self.costs[key] = self.find_cost(run)
+        return self.costs[key]
+
+    def find_cost(self, run: Run) -> float:
+        """Return the value of the work that is lost and of a time objective that is missed."""
+        step, job = run.step, run.step.job
+        runs = step.runs if step.spec.is_gang else [run]
+        capacity = self.valuation.typical_capacity(job)
+        lost_seconds = sum(self.lost_seconds(each) for each in runs)
+        room = lost_seconds * room_share(step.spec.reserved, capacity)
+        share, later_share = self.shares(run)
+        value = self.valuation.value_in_time(job)
+        work_lost = share * room / max(MIN_ROOM_SECONDS, total_room_seconds(job, capacity))
+        return value * (work_lost + share - later_share)
+
+    def lost_seconds(self, run: Run) -> float:
+        """Return the seconds of work that a stopped run has to do again."""
+        lost = max(0.0, self.now - run.started_at)
+        if run.step.spec.saves:
+            lost = min(lost, self.restore_seconds)
+        return lost + STOP_DELAY_SECONDS
+
+    def shares(self, run: Run) -> tuple[float, float]:
+        """Return the shares of its value that a job keeps if a run goes on and if it is stopped."""
+        job = run.step.job
+        if run.step.spec.lasts:
+            return 1.0, 1.0
+        ends_at = self.wall_time + run.remaining_seconds(self.now)
+        delayed_to = ends_at + self.lost_seconds(run)
+        return self.valuation.share_at(job, ends_at), self.valuation.share_at(job, delayed_to)
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -95,21 +95,6 @@
             estimate = self.step.expected_seconds / self.worker.speed
         return max(0.1, estimate * (1 - self.percent / 100) - max(0.0, now - self.last_progress_at))
 
-    def lost_core_seconds(self, now: float, restore_seconds: float) -> float:
-        """Return the core-seconds of work that are lost if the run is stopped.
-
-        A task that writes checkpoints writes one more when it is stopped, so it only loses the
-        time that restoring it takes.
-
-        :param now: time on the local clock, in seconds.
-        :param restore_seconds: time that a worker needs to restore a checkpoint.
-        """
-        spec = self.step.spec
-        lost = max(0.0, now - self.started_at)
-        if spec.saves:
-            lost = min(lost, restore_seconds)
-        return lost * core_equivalent(spec.demand)
-
 
 @attrs.define(eq=False)
 class TaskState:
--- a/src/jaypier/jobs/tests/test_planning.py
+++ b/src/jaypier/jobs/tests/test_planning.py
@@ -252,3 +252,63 @@
             make_cluster_state(1), make_job(make_step(accelerators=0), priority=0)
         )
         assert len(planner.plan(0.0, 0.0).starts) == 1
+
+
+class TestExpiredJobs:
+    """Answers overload that lasts longer than jobs keep a value."""
+
+    def make_busy(self, *waiting):
+        """Return the planner of two workers, most of which is in use, before waiting jobs start."""
+        cluster_state = make_cluster_state(2)
+        running = [
+            make_job(Step(1, Resources(60000, 120000, 8), 50.0)),
+            make_job(Step(1, Resources(40000, 80000, 5), 50.0)),
+        ]
+        planner = make_planner(cluster_state, *running)
+        planner.plan(0.0, 0.0)
+        for job in waiting:
+            planner.observe_job(cluster_state.add_job(job), 0.0)
+        return planner
+
+    def test_waits_while_others_need_the_room(self):
+        expired = make_job(make_step(accelerators=2), submitted_at=-100.0)
+        wide = make_job(make_step(accelerators=8))
+        planner = self.make_busy(expired, wide)
+        started = {run.task.job_id for run in planner.plan(0.0, 0.0).starts}
+        assert expired.id not in started
+
+    def test_runs_when_nothing_else_waits(self):
+        expired = make_job(make_step(accelerators=2), submitted_at=-100.0)
+        planner = self.make_busy(expired)
+        assert expired.id in {run.task.job_id for run in planner.plan(0.0, 0.0).starts}
+
+    def test_runs_on_workers_that_are_mostly_idle_although_others_wait(self):
+        cluster_state = make_cluster_state(2)
+        expired = make_job(make_step(accelerators=2), submitted_at=-100.0)
+        wide = make_job(make_step(count=3, accelerators=8, is_gang=True))
+        planner = make_planner(cluster_state, expired, wide)
+        assert expired.id in {run.task.job_id for run in planner.plan(0.0, 0.0).starts}
+
+    def test_comes_after_jobs_that_are_worth_something(self):
+        expired = make_job(make_step(accelerators=1, seconds=0.1), submitted_at=-100.0)
+        large = make_job(make_step(count=8, accelerators=8, seconds=50.0), priority=2)
+        cluster_state = make_cluster_state(1)
+        planner = make_planner(cluster_state, expired, large)
+        assert planner.rank_jobs(0.0, 0.0)[-1].spec.id == expired.id
+
+    def test_does_not_preempt(self):
+        cluster_state = make_cluster_state(1)
+        planner = make_planner(cluster_state, make_job(make_step(accelerators=8), priority=2))
+        planner.plan(0.0, 0.0)
+        expired = make_job(make_step(accelerators=8), priority=0, submitted_at=-100.0)
+        planner.observe_job(cluster_state.add_job(expired), 1.0)
+        assert planner.plan(1.0, 1.0).stops == []
+
+    def test_preempts_within_its_team_s_guarantee(self):
+        cluster_state = make_cluster_state(1)
+        background = make_job(make_step(accelerators=8, seconds=30.0), priority=2)
+        planner = make_planner(cluster_state, background, **{"team-a": 8})
+        (run,) = planner.plan(0.0, 0.0).starts
+        expired = make_job(make_step(accelerators=8), priority=0, submitted_at=-100.0)
+        planner.observe_job(cluster_state.add_job(expired), 1.0)
+        assert planner.plan(1.0, 1.0).stops == [run]
--- a/src/jaypier/jobs/tests/test_valuation.py
+++ b/src/jaypier/jobs/tests/test_valuation.py
@@ -1,5 +1,6 @@
 import pytest
 
+from jaypier.jobs.model import Resources, Step
 from jaypier.jobs.state import JobState
 from jaypier.jobs.tests.builders import make_cluster_state, make_job, make_planner, make_step
 from jaypier.jobs.valuation import (
@@ -72,3 +73,35 @@
         interrupted.has_started = True
         expected = INTERRUPTED_FACTOR * valuation.score(other, 0.0)
         assert valuation.score(interrupted, 0.0) == pytest.approx(expected)
+
+    def test_room_counts_by_the_resource_that_binds(self):
+        """A task of half a worker's processors takes as much with one accelerator as with four."""
+        demands = [Resources(32000, 1000, count) for count in (1, 4)]
+        valuation, states = add_jobs(
+            *(
+                make_job(Step(2, demand, 4.0), queue=f"q{number}")
+                for number, demand in enumerate(demands)
+            )
+        )
+        scores = [valuation.score(state, 0.0) for state in states]
+        assert scores[0] == pytest.approx(scores[1])
+
+
+class TestExpiry:
+    def test_job_expires_when_it_cannot_end_within_the_multiple_of_its_objective(self):
+        valuation, (state,) = add_jobs(make_job(make_step(seconds=2.0)))
+        assert not valuation.is_expired(state, 18.9)
+        assert valuation.is_expired(state, 19.1)
+
+    def test_long_running_job_never_expires(self):
+        valuation, (state,) = add_jobs(make_job(make_step(seconds=2.0, lasts=True)))
+        assert not valuation.is_expired(state, 1e6)
+        assert valuation.value_share(state, 1e6) == 1.0
+
+    def test_newest_occurrence_counts(self):
+        job = make_job(make_step(), repeats=2, first_start_at=0.0, interval_seconds=1000.0)
+        valuation, (state,) = add_jobs(job)
+        state.open_occurrence(0)
+        assert valuation.is_expired(state, 1001.0)
+        state.open_occurrence(1)
+        assert not valuation.is_expired(state, 1001.0)
--- a/src/jaypier/jobs/valuation.py
+++ b/src/jaypier/jobs/valuation.py
@@ -1,13 +1,17 @@
 """The value of jobs: what completing them is worth, and in which order they should run.
 
-Answers loads that exceed the capacity for a while: jobs are ordered by value for each core-second
-that they still need. While there is room for most jobs, a job that has little time left comes
-before one that can wait, and a job whose work was interrupted before one that has not begun.
+Answers loads that exceed the capacity for a while: jobs are ordered by value for the room that they
+still need. While there is room for most jobs, a job that has little time left comes before one that
+can wait, and a job whose work was interrupted before one that has not begun.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
-from jaypier.jobs.state import JobState, core_equivalent
+from jaypier.jobs.model import Resources
+from jaypier.jobs.state import JobState, Worker, core_equivalent
+from jaypier.scheduling.rooms import remaining_room_seconds, typical_capacities
 
 MAX_SIZE_FACTOR = 4.0
 """Largest factor by which a job is worth more than a job of the mean size of its queue."""
@@ -25,6 +29,12 @@
 MIN_CRITICAL_PATH_SECONDS = 0.5
 """Critical path of very short jobs when their slack is assessed: a round of reports and passes."""
 
+MIN_ROOM_SECONDS = 0.01
+"""Least room, in worker-seconds, that a job counts as needing."""
+
+DEFAULT_CAPACITY = Resources(64000, 131072, 8)
+"""Capacity of a typical worker as long as no worker is known."""
+
 INTERRUPTED_FACTOR = 2.0
 """Factor on the score of a job that was started and has no run: its caller has waited once, and a
 wide gang would otherwise lose its workers to many small jobs."""
@@ -62,14 +72,20 @@
 
 
 class Valuation:
-    """Scores jobs by their value for each remaining core-second.
+    """Scores jobs by their value for the room that they still need.
 
     :ivar mean_core_seconds: number of jobs and their mean work in core-seconds, by queue.
+    :ivar capacities: capacity of a typical worker, by service.
     """
 
     def __init__(self, settings: ValueSettings) -> None:
         self.settings = settings
         self.mean_core_seconds: dict[str, tuple[int, float]] = {}
+        self.capacities: dict[str, Resources] = {}
+
+    def observe_workers(self, workers: Iterable[Worker]) -> None:
+        """Update the capacity of a typical worker of each service."""
+        self.capacities = typical_capacities(workers)
 
     def observe(self, state: JobState) -> None:
         """Update the mean work of the job's queue."""
@@ -81,18 +97,23 @@
         )
 
     def score(self, state: JobState, wall_time: float) -> float:
-        """Return the value of a job per remaining core-second, weighted by its urgency.
+        """Return the value of a job for each worker-second of room, weighted by its urgency.
 
         The value depends on the priority, on the job's size relative to the mean of its queue, and
         on whether the job can still meet its time objective.
 
         :param wall_time: Unix time in seconds.
         """
-        value = self.value_in_time(state) * self.value_share(state, wall_time)
+        value = self.value_now(state, wall_time)
         if state.has_started and not any(state.runs):
             value *= INTERRUPTED_FACTOR
         urgency = self.urgency(state, wall_time)
-        return value * urgency / max(1.0, state.remaining_core_seconds())
+        room = remaining_room_seconds(state, self.typical_capacity(state))
+        return value * urgency / max(MIN_ROOM_SECONDS, room)
+
+    def typical_capacity(self, state: JobState) -> Resources:
+        """Return the capacity of a typical worker that may run a job."""
+        return self.capacities.get(state.spec.service, DEFAULT_CAPACITY)
 
     def value_in_time(self, state: JobState) -> float:
         """Return the value of a job that meets its time objective."""
@@ -107,16 +128,46 @@
         )
         return weight * min(MAX_SIZE_FACTOR, 0.3 + 0.7 * total_core_seconds / mean)
 
+    def value_now(self, state: JobState, wall_time: float) -> float:
+        """Return the value of a job that runs without interruption from now.
+
+        :param wall_time: Unix time in seconds.
+        """
+        return self.value_in_time(state) * self.value_share(state, wall_time)
+
     def value_share(self, state: JobState, wall_time: float) -> float:
         """Return the share of its value that a job has if it runs without interruption from now.
 
         :param wall_time: Unix time in seconds.
         """
-        slack = slack_seconds(state, wall_time)
-        if slack >= 0:
+        return self.share_at(state, wall_time + state.remaining_critical_path_seconds())
+
+    def share_at(self, state: JobState, completed_at: float) -> float:
+        """Return the share of its value that a job has if it ends at a given time.
+
+        Long-running jobs are never late: they are worth something whenever they run.
+
+        :param completed_at: Unix time in seconds.
+        """
+        if any(step.lasts for step in state.spec.steps):
+            return 1.0
+        objective = state.spec.objective_seconds
+        elapsed = completed_at - state.earliest_start_at
+        if elapsed <= objective:
             return 1.0
-        tolerated_delay = (self.settings.max_late_multiple - 1) * state.spec.objective_seconds
-        return self.settings.late_share if -slack <= tolerated_delay else EXPIRED_VALUE_SHARE
+        is_late = elapsed <= self.settings.max_late_multiple * objective
+        return self.settings.late_share if is_late else EXPIRED_VALUE_SHARE
+
+    def is_expired(self, state: JobState, wall_time: float) -> bool:
+        """Whether no open occurrence of a job can be worth anything, even if it runs from now.
+
+        :param wall_time: Unix time in seconds.
+        """
+        if any(step.lasts for step in state.spec.steps):
+            return False
+        newest = state.spec.earliest_start_at(max(state.occurrences, default=0))
+        elapsed = wall_time - newest + state.remaining_critical_path_seconds()
+        return elapsed > self.settings.max_late_multiple * state.spec.objective_seconds
 
     def urgency(self, state: JobState, wall_time: float) -> float:
         """Return how little a job can wait, from ``MIN_URGENCY`` to 1.
