--- a/src/jaypier/scheduling/team_limits.py
+++ b/src/jaypier/scheduling/team_limits.py
@@ -6,14 +6,14 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from operator import itemgetter
 
 import attrs
 
 from jaypier.jobs.cluster_state import ClusterState
 from jaypier.jobs.model import Resources, Step
-from jaypier.jobs.preemption import can_preempt, stop_cost
+from jaypier.jobs.preemption import can_preempt
 from jaypier.jobs.state import Run, StepState, Worker
 
 CHANGE_SECONDS = 2.0
@@ -172,13 +172,13 @@
                 return self.claims[team]
         return None
 
-    def runs_to_stop(self, step: StepState, restore_seconds: float) -> list[Run]:
+    def runs_to_stop(self, step: StepState, cost_of: Callable[[Run], float]) -> list[Run]:
         """Return runs of an urgent step's own team to stop, so that its limit lets the step start.
 
         Returns none if the step has no claim. Runs that are being stopped already count as freed,
         and a gang is stopped as a whole.
 
-        :param restore_seconds: time that a worker needs to restore a checkpoint.
+        :param cost_of: returns the cost of stopping a run.
         """
         team = step.job.spec.team
         claim = self.claims.get(team)
@@ -191,7 +191,7 @@
         chosen_by_step: Counter[StepState] = Counter()
         for run in sorted(
             (run for run in self.runs[team] if can_preempt(run, step)),
-            key=lambda run: (stop_cost(run, restore_seconds, self.now), str(run.task)),
+            key=lambda run: (cost_of(run), str(run.task)),
         ):
             if is_within_limit(expected, limit):
                 break
