An unexpected error in a scheduling pass sets one job aside

Cause: an exception from Planner.plan ended the leadership, and, as the job that brought it about was still there, the next one's.

Change: the planner names the job it is concerned with and its decisions so far. An error of no known job ends that pass only. The same holds when a job that was read cannot be valued. Counter leader.plan_failures, log events 'planning failed' and 'scheduling pass failed'.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -592,7 +592,8 @@
             self.avoid_worker(run.worker, now)
         if verdict is StartVerdict.NOT_STARTED:
             self.end_run(run)
-        run.step.job.not_before = now + START_RETRY_DELAY_SECONDS
+        state = run.step.job
+        state.not_before = max(state.not_before, now + START_RETRY_DELAY_SECONDS)
         return verdict
 
     def mark_obsolete_runs(self) -> Iterator[Run]:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import attrs
@@ -13,6 +13,7 @@
 from jaypier.core.codec import decode_valid
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.cluster_state import ClusterState, UnknownRun
+from jaypier.jobs.contained_planning import plan_with_failures
 from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
@@ -29,7 +30,7 @@
 )
 from jaypier.jobs.session import WorkerSession
 from jaypier.jobs.starts import StartVerdict, seconds_until_next_try
-from jaypier.jobs.state import Run, Worker
+from jaypier.jobs.state import JobState, Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.worker_interface import (
@@ -209,7 +210,7 @@
                 # early.
                 state.ended_at = self.clock.now()
             self.cluster_state.insert_job(state)
-            self.planner.observe_job(state, self.clock.now())
+            self.observe_job(state)
         self.unreadable_jobs = {job.id for job in changes.accepted} - self.cluster_state.jobs.keys()
         self.jobs_version = jobs.version
         self.workers_version = listing.version
@@ -275,7 +276,7 @@
             state = self.cluster_state.add_job(job, may_have_started=not self.has_reconciled)
             if state is not None:
                 self.wake_unreconciled_workers()
-                self.planner.observe_job(state, self.clock.now())
+                self.observe_job(state)
                 log.info(
                     "job added",
                     job=job.id,
@@ -295,6 +296,14 @@
         if rows:
             self.scheduling_requested.set()
 
+    def observe_job(self, state: JobState) -> None:
+        """Tell the planner of a job; an unexpected error is logged, and the job stays."""
+        try:
+            self.planner.observe_job(state, self.clock.now())
+        except Exception as error:
+            self.metrics.count("leader.plan_failures")
+            log.error("planning failed", job=state.spec.id, exc_info=error)
+
     def apply_notified_row(self, row: Row) -> None:
         """Apply a row of the jobs table of which a daemon has told this leader.
 
@@ -428,23 +437,36 @@
             await self.scheduling_requested.wait()
             await asyncio.sleep(PASS_PAUSE_FACTOR * pass_seconds)
             self.scheduling_requested.clear()
-            self.reconcile_workers()
-            log_crashes(self.cluster_state.crashes, self.metrics)
-            self.stop_runs(list(self.cluster_state.mark_obsolete_runs()), "no longer needed")
-            self.stop_runs(mark_straggler_runs(self.cluster_state), "straggler")
-            self.stop_runs(
-                mark_draining_runs(self.cluster_state, self.clock.now()), "worker draining"
-            )
-            if self.has_authority:
-                started_at = self.clock.now()
-                plan = self.planner.plan(started_at, self.wall_clock())
-                pass_seconds = self.clock.now() - started_at
-                self.metrics.record("leader.plan", pass_seconds)
-                self.stop_runs(plan.stops, "preempted")
-                for run in plan.starts:
-                    self.spawn(self.start_run(run), f"start {run.task}")
-            if self.cluster_state.dirty_jobs:
-                self.progress_writer.write_requested.set()
+            started_at = self.clock.now()
+            try:
+                self.run_scheduling_pass()
+            except Exception as error:
+                self.metrics.count("leader.plan_failures")
+                log.error("scheduling pass failed", exc_info=error)
+            pass_seconds = self.clock.now() - started_at
+
+    def run_scheduling_pass(self) -> None:
+        """Stop runs that are not needed, decide which to start and preempt, and send the requests.
+
+        An error that concerns one job sets that job aside.
+        """
+        self.reconcile_workers()
+        log_crashes(self.cluster_state.crashes, self.metrics)
+        self.stop_runs(self.cluster_state.mark_obsolete_runs(), "no longer needed")
+        self.stop_runs(mark_straggler_runs(self.cluster_state), "straggler")
+        self.stop_runs(mark_draining_runs(self.cluster_state, self.clock.now()), "worker draining")
+        if self.has_authority:
+            started_at = self.clock.now()
+            plan, failures = plan_with_failures(self.planner, started_at, self.wall_clock())
+            self.metrics.record("leader.plan", self.clock.now() - started_at)
+            for failure in failures:
+                self.metrics.count("leader.plan_failures")
+                log.error("planning failed", job=failure.job_id, exc_info=failure.error)
+            self.stop_runs(plan.stops, "preempted")
+            for run in plan.starts:
+                self.spawn(self.start_run(run), f"start {run.task}")
+        if self.cluster_state.dirty_jobs:
+            self.progress_writer.write_requested.set()
 
     def reconcile_workers(self) -> None:
         """Stop waiting for reports of workers on which no run of an earlier leader can be active.
@@ -517,7 +539,7 @@
 
     # Requests to workers
 
-    def stop_runs(self, runs: list[Run], reason: str) -> None:
+    def stop_runs(self, runs: Iterable[Run], reason: str) -> None:
         """Send stop requests for runs.
 
         :param reason: reason for the log.
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -83,6 +83,8 @@
     :ivar headroom: workers that are kept free for urgent jobs.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
+    :ivar considered: job that the pass is concerned with, ``None`` outside of decisions about one.
+    :ivar decided: decisions of the pass so far.
     """
 
     def __init__(
@@ -99,6 +101,8 @@
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
+        self.considered: JobState | None = None
+        self.decided = Plan([], [])
 
     # Arrivals
 
@@ -121,13 +125,14 @@
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
+        starts: list[Run] = []
+        stops: list[Run] = []
+        self.considered, self.decided = None, Plan(starts, stops)
         self.reservations = [
             each
             for each in self.reservations
             if each.expires_at > now and each.step.is_startable and each.step.waiting
         ]
-        starts: list[Run] = []
-        stops: list[Run] = []
         workers = self.usable_workers(now)
         if not workers:
             return Plan([], [])
@@ -137,6 +142,7 @@
         unplaceable: dict[tuple, int] = {}
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
+            self.considered = state
             is_non_preemptible = not state.spec.is_preemptible
             for step in state.steps:
                 if not step.is_startable or not step.waiting:
@@ -216,6 +222,7 @@
         covered: set[str] = set()
         urgent = [state for state in waiting if state.spec.priority == URGENT_PRIORITY]
         for state in sorted(urgent, key=lambda each: (each.spec.submitted_at, each.spec.id)):
+            self.considered = state
             if not any(step.waiting for step in state.steps):
                 continue
             team = state.spec.team
@@ -229,6 +236,7 @@
                 covered.add(state.spec.id)
 
         def sort_key(state: JobState) -> tuple:
+            self.considered = state
             job = state.spec
             if job.id in covered:
                 guaranteed = self.guarantees.get(job.team, 0)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -1,14 +1,23 @@
 import asyncio
+import itertools
 
 import attrs
 import pytest
 
+from jaypier.jobs.contained_planning import SET_ASIDE_SECONDS
+from jaypier.jobs.leader import START_TIMEOUT_SECONDS
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
 from jaypier.jobs.rows import JobTable
+from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
+from jaypier.jobs.worker_interface import WorkerUnreachable
 from jaypier.platform import Put, Transaction
 
 
+def count_runs(harness, job) -> int:
+    return sum(task.job_id == job.id for task, _, _ in harness.cluster.runs)
+
+
 class TestNormalOperation:
     def test_job_is_accepted_run_and_recorded(self):
         async def scenario(harness):
@@ -284,6 +293,150 @@
         run_scenario(scenario)
 
 
+class TestErrorsOfSchedulingPasses:
+    """An error that one job brings about in a pass keeps neither the leadership nor other jobs."""
+
+    def break_score(self, harness, job):
+        """Make the score of a job raise; return a function that mends it."""
+        leader = harness.leaders[harness.leader_name]
+        score = leader.planner.valuation.score
+
+        def fail_for_job(state, wall_time):
+            if state.spec.id == job.id:
+                raise ZeroDivisionError("unexpected")
+            return score(state, wall_time)
+
+        leader.planner.valuation.score = fail_for_job
+        return lambda: setattr(leader.planner.valuation, "score", score)
+
+    def test_job_that_cannot_be_ranked_is_set_aside(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            job, others = make_job(make_step(seconds=0.5)), [make_job() for _ in range(3)]
+            mend = self.break_score(harness, job)
+            for each in (job, *others):
+                harness.cluster.submit(each)
+            for each in others:
+                await harness.wait_status(each, JobStatus.COMPLETED, 4)
+            assert list(harness.leaders.values()) == [leader]
+            assert 1 <= leader.metrics.counters["leader.plan_failures"] <= 2
+            mend()
+            await harness.wait_status(job, JobStatus.COMPLETED, SET_ASIDE_SECONDS + 2)
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("is_gang", [False, True])
+    def test_job_that_cannot_be_placed_holds_no_capacity(self, is_gang):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            step = make_step(count=3, accelerators=8, seconds=1.0, is_gang=is_gang)
+            job, other = make_job(step), make_job(make_step(count=4, accelerators=8))
+            assign_task = leader.cluster_state.assign_task
+
+            def fail_on_third_task(step, task, *arguments):
+                if task.id.job_id == job.id and task.id.index == 2:
+                    raise KeyError("unexpected")
+                return assign_task(step, task, *arguments)
+
+            leader.cluster_state.assign_task = fail_on_third_task
+            harness.cluster.submit(job)
+            await asyncio.sleep(0.5)
+            harness.cluster.submit(other)
+            await harness.wait_status(other, JobStatus.COMPLETED, 4)
+            assert list(harness.leaders.values()) == [leader]
+            assert count_runs(harness, job) == 0
+            leader.cluster_state.assign_task = assign_task
+            await harness.wait_status(job, JobStatus.COMPLETED, SET_ASIDE_SECONDS + 4)
+
+        run_scenario(scenario)
+
+    def test_pass_goes_on_for_other_jobs(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            job, other = make_job(), make_job()
+            self.break_score(harness, job)
+            harness.cluster.submit(job)
+            harness.cluster.submit(other)
+            await harness.wait_until(lambda: count_runs(harness, other) == 1, 0.1)
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("name", ["usable_workers", "rank_jobs"])
+    def test_error_of_no_known_job_ends_one_pass_only(self, name):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            work = getattr(leader.planner, name)
+
+            def fail(*arguments):
+                raise RuntimeError("unexpected")
+
+            setattr(leader.planner, name, fail)
+            job = make_job()
+            harness.cluster.submit(job)
+            await asyncio.sleep(2.0)
+            assert list(harness.leaders.values()) == [leader]
+            assert leader.metrics.counters["leader.plan_failures"] > 0
+            setattr(leader.planner, name, work)
+            await harness.wait_status(job, JobStatus.COMPLETED, 4)
+
+        run_scenario(scenario)
+
+    def test_job_that_cannot_be_valued_does_not_end_the_leadership(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            job, other = make_job(), make_job()
+            observe = leader.planner.valuation.observe
+
+            def fail_for_job(state):
+                if state.spec.id == job.id:
+                    raise ZeroDivisionError("unexpected")
+                observe(state)
+
+            leader.planner.valuation.observe = fail_for_job
+            harness.cluster.submit(job)
+            harness.cluster.submit(other)
+            for each in (job, other):
+                await harness.wait_status(each, JobStatus.COMPLETED, 4)
+            assert list(harness.leaders.values()) == [leader]
+
+        run_scenario(scenario)
+
+
+class TestStartRetries:
+    def test_refused_connection_is_retried_after_growing_delays(self):
+        async def scenario(harness):
+            find_link, tried_at = harness.cluster.link, []
+
+            def link(name, entry):
+                link = find_link(name, entry)
+
+                async def refuse(*arguments):
+                    tried_at.append(harness.clock.now())
+                    await asyncio.sleep(0.0005)
+                    raise WorkerUnreachable("connection refused")
+
+                link.start = refuse
+                return link
+
+            harness.cluster.link = link
+            harness.cluster.submit(make_job())
+            await harness.wait_until(lambda: bool(tried_at), 5)
+            await asyncio.sleep(START_TIMEOUT_SECONDS)
+            pairs = itertools.pairwise(tried_at)
+            delays = [round(later - earlier, 6) for earlier, later in pairs]
+            assert delays[0] <= 2 * INITIAL_START_RETRY_SECONDS
+            assert delays == sorted(delays)
+            # 0.02, 0.04, ... 0.32 s add up to 0.62 s; 0.4 s each for the rest of 1.5 s.
+            assert len(tried_at) <= 9
+
+        run_scenario(scenario, workers=1)
+
+
 class TestPreemption:
     def test_run_that_is_preempted_before_its_start_is_sent_frees_its_worker_at_once(self):
         async def scenario(harness):
