--- a/src/jaypier/jobs/starts.py
+++ b/src/jaypier/jobs/starts.py
@@ -1,7 +1,7 @@
 """What the response to a start request proves about the run.
 
 A request without a response may be carried out seconds later, also after newer ones. So a refusal
-shows that its own request has started nothing, but not that an earlier one never will, or never did.
+shows that its own request has started nothing, but not that an earlier one never did or will.
 """
 
 from enum import StrEnum
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -41,8 +41,8 @@
 
 UNCLEAR_START_SEEDS = range(4000, 4012)
 """Seeds that add to the faults of the schedule seeds start and stop requests that are executed
-late, start responses that are lost, and refusals of a run whose earlier start request is still under
-way."""
+late, start responses that are lost, and refusals of a run whose earlier start request is still to
+be executed."""
 
 REFUSALS = tuple(each for each in StartResponse if each is not StartResponse.STARTED)
 
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from jaypier.core.address import Address
+from jaypier.jobs.model import StartRequest, StartResponse, TaskId
 from jaypier.jobs.worker_interface import WorkerUnreachable
 from jaypier.platform.model import Row
 from jaypier.platform.workers import HttpWorkerLink, decode_worker
@@ -98,3 +99,44 @@
 
         with pytest.raises(WorkerUnreachable):
             asyncio.run(renew())
+
+
+class TestStartResponses:
+    def start(self, status: int, body: bytes) -> StartResponse:
+        async def start() -> StartResponse:
+            link = HttpWorkerLink("worker-00", Address("127.0.0.1", 1))
+
+            async def exchange(request, timeout):
+                return HttpResponse(status, [], body)
+
+            link.pool.exchange = exchange
+            task = TaskId("0123456789abcdef", 0, 0, 0)
+            return await link.start(1, StartRequest(task, 1, "work", "", 6000))
+
+        return asyncio.run(start())
+
+    @pytest.mark.parametrize(
+        ("status", "reason", "response"),
+        [
+            (200, None, StartResponse.STARTED),
+            (409, "fence", StartResponse.DEPOSED),
+            (409, "old", StartResponse.OUTDATED),
+            (409, "late", StartResponse.EXPIRED),
+            (409, "room", StartResponse.NO_ROOM),
+            (409, "another", StartResponse.REFUSED),
+            (429, None, StartResponse.UNHEALTHY),
+            (503, None, StartResponse.UNHEALTHY),
+            (400, None, StartResponse.REFUSED),
+            (421, None, StartResponse.REFUSED),
+        ],
+    )
+    def test_response_is_decoded(self, status, reason, response):
+        body = {"ClockMs": 1} if reason is None else {"ClockMs": 1, "Reason": reason}
+        assert self.start(status, json.dumps(body).encode()) is response
+
+    @pytest.mark.parametrize(
+        ("status", "body"), [(500, b""), (502, b""), (504, b""), (409, b"{"), (302, b"")]
+    )
+    def test_response_that_tells_nothing_counts_as_none(self, status, body):
+        with pytest.raises(WorkerUnreachable):
+            self.start(status, body)
