The start of a suspected task is recorded as one that may crash its worker

That row now names the attempt among the possible crashes while it may crash its worker; it is withdrawn when the worker has reported the run, its end or its absence, also by the next leader, for which adopted runs clear earlier attempts as before.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -375,6 +375,9 @@
         if found is not None and found[1].run is run:
             found[1].run = None
         step = run.step
+        if run.task in step.job.crash_suspects:
+            # The row may still name it among the runs that may crash their workers.
+            self.dirty_jobs.add(run.task.job_id)
         if step.spec.is_gang:
             step.is_tearing_down = bool(step.runs)
 
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -229,8 +229,9 @@
         if found is None:
             return
         step, task = found
-        if attempt in task.suspected_crashes:
+        if attempt in task.suspected_crashes | task.restored_suspicions:
             task.suspected_crashes.discard(attempt)
+            task.restored_suspicions -= {attempt}
             self.cluster_state.dirty_jobs.add(task_id.job_id)
         if not task.possible_crashes:
             step.job.crash_suspects.discard(task_id)
--- a/src/jaypier/jobs/progress.py
+++ b/src/jaypier/jobs/progress.py
@@ -3,7 +3,7 @@
 import attrs
 
 from jaypier.jobs.model import Job, JobStatus
-from jaypier.jobs.state import JobState, StepState, new_job_state
+from jaypier.jobs.state import JobState, StepState, TaskState, new_job_state
 
 
 @attrs.frozen
@@ -101,13 +101,26 @@
             if task.crashed_attempts and not task.is_done
         },
         suspected_crashes={
-            task.id.index: sorted(task.suspected_crashes | task.restored_suspicions)
+            task.id.index: sorted(attempts)
             for task in step.tasks
-            if task.suspected_crashes | task.restored_suspicions and not task.is_done
+            if not task.is_done and (attempts := suspected_attempts(step, task))
         },
     )
 
 
+def suspected_attempts(step: StepState, task: TaskState) -> set[int]:
+    """Return the numbers of a task's attempts that a new leader has to suspect.
+
+    The current run of a suspected task is one of them while it may crash its worker: a leader that
+    ends at once could not record the crash.
+    """
+    attempts = task.suspected_crashes | task.restored_suspicions
+    is_trial = task.id in step.job.crash_suspects
+    if is_trial and task.run is not None and task.run.may_crash_worker:
+        attempts = attempts | {task.run.attempt}
+    return attempts
+
+
 def without_checkpoints(progress: JobProgress) -> JobProgress:
     """Return a copy without checkpoints, which fits a shorter row.
 
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -121,8 +121,8 @@
     :param crashed_attempts: numbers of the attempts that crashed their workers.
     :param suspected_crashes: numbers of those that may have: their workers have not come back, or
         became silent together with others.
-    :param restored_suspicions: the same for attempts under earlier leaders, which this one can
-        neither prove nor withdraw.
+    :param restored_suspicions: the same for attempts under earlier leaders, which this one cannot
+        prove.
     :param checkpoint: newest known checkpoint, empty for none.
     :param failed_on: ids of the workers that the next start avoids: those on which the task failed,
         or from which it was moved.
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -519,6 +519,42 @@
         assert restored.steps[0].tasks[0].possible_crashes == {1}
         assert restored.crash_suspects == {run.task}
 
+    def test_trial_counts_although_its_leader_ends_before_the_crash_is_noticed(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        case.cluster_state.dirty_jobs.clear()
+        (run,) = case.planner.plan(case.now, case.now).starts
+        assert case.cluster_state.dirty_jobs == {case.job.id}
+        restored = restore_job(case.job, record_progress(case.state, 0.0))
+        assert restored.steps[0].tasks[0].possible_crashes == {1, run.attempt}
+
+    @pytest.mark.parametrize("is_adopted", [False, True])
+    def test_trial_that_has_not_crashed_its_worker_does_not_count(self, is_adopted):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        run = case.start()
+        cluster_state, state, worker = case.cluster_state, case.state, run.worker
+        if is_adopted:
+            state = restore_job(case.job, record_progress(case.state, 0.0))
+            cluster_state = make_cluster_state(0, epoch=2)
+            cluster_state.insert_job(state)
+            worker = cluster_state.register_worker(worker.entry, case.now)
+        end = make_ended_run(1, run.task, RunOutcome.STOPPED, run.attempt)
+        apply_report(cluster_state, worker, case.now + 0.5, ends=[end], born=2)
+        assert cluster_state.dirty_jobs == {case.job.id}
+        restored = restore_job(case.job, record_progress(state, 0.0))
+        assert restored.steps[0].tasks[0].possible_crashes == {1}
+
+    def test_lost_trial_is_recorded_without_suspicion_once_its_worker_reports(self):
+        case = CrashCase()
+        self.crash_once(case, 1)
+        run = case.start()
+        case.cluster_state.dirty_jobs.clear()
+        apply_report(case.cluster_state, run.worker, case.now + 0.5, born=2)
+        assert case.cluster_state.dirty_jobs == {case.job.id}
+        restored = restore_job(case.job, record_progress(case.state, 0.0))
+        assert restored.steps[0].tasks[0].possible_crashes == {1}
+
     @pytest.mark.parametrize(
         ("crashed", "suspected", "status"),
         [
