--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -393,6 +393,9 @@
         if found is not None and found[1].run is run:
             found[1].run = None
         step = run.step
+        if run.task in step.job.crash_suspects:
+            # The row may still name it among the runs that may crash their workers.
+            self.dirty_jobs.add(run.task.job_id)
         if step.spec.is_gang:
             step.is_tearing_down = bool(step.runs)
 
@@ -631,7 +634,8 @@
             self.avoid_worker(run.worker, now)
         if verdict is StartVerdict.NOT_STARTED:
             self.end_run(run)
-        run.step.job.not_before = now + START_RETRY_DELAY_SECONDS
+        state = run.step.job
+        state.not_before = max(state.not_before, now + START_RETRY_DELAY_SECONDS)
         return verdict
 
     def mark_obsolete_runs(self) -> Iterator[Run]:
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -88,6 +88,8 @@
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
+    :ivar considered: job that the pass is concerned with, ``None`` outside of decisions about one.
+    :ivar decided: decisions of the pass so far.
     """
 
     def __init__(
@@ -106,6 +108,8 @@
         self.covered: set[str] = set()
         self.reservations: list[Reservation] = []
         self.team_limits = TeamLimits()
+        self.considered: JobState | None = None
+        self.decided = Plan([], [])
 
     # Arrivals
 
@@ -128,13 +132,14 @@
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
+        starts: list[Run] = []
+        stops: list[Run] = []
+        self.considered, self.decided = None, Plan(starts, stops)
         self.reservations = [
             each
             for each in self.reservations
             if each.expires_at > now and each.step.is_startable and each.step.waiting
         ]
-        starts: list[Run] = []
-        stops: list[Run] = []
         workers = self.usable_workers(now)
         if not workers:
             return Plan([], [])
@@ -147,6 +152,7 @@
         contended = ContendedPools()
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
+            self.considered = state
             is_non_preemptible = not state.spec.is_preemptible
             is_expired = self.is_worthless(state, wall_time)
             if is_expired and contended.contains(state.spec.service, workers):
@@ -247,6 +253,7 @@
         covered: set[str] = set()
         urgent = [state for state in waiting if state.spec.priority == URGENT_PRIORITY]
         for state in sorted(urgent, key=lambda each: (each.spec.submitted_at, each.spec.id)):
+            self.considered = state
             if not any(step.waiting for step in state.steps):
                 continue
             team = state.spec.team
@@ -261,6 +268,7 @@
         self.covered = covered
 
         def sort_key(state: JobState) -> tuple:
+            self.considered = state
             job = state.spec
             if job.id in covered:
                 guaranteed = self.guarantees.get(job.team, 0)
