Read what was learned beside the jobs

A read of its own made each takeover longer by one response of the store (test_start_waits_until_recorded_in_store stopped the store before the state was loaded).

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -60,8 +60,8 @@
 the leader's memory."""
 
 MAX_START_SECONDS = 0.5
-"""Longest time from the assignment of a run to its confirmed start with which its duration tells how
-long its task takes."""
+"""Longest time from the assignment of a run to its confirmed start with which its duration tells
+how long its task takes."""
 
 ATTEMPTS_PER_EPOCH = 64
 """Number of attempt numbers reserved for each epoch, so that two leaders never use the same one."""
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -202,10 +202,11 @@
 
     async def load_state(self) -> None:
         """Load jobs, their progress and the workers from the store."""
-        jobs = await self.table.snapshot(JOBS_TABLE)
+        jobs, learned = await asyncio.gather(
+            self.table.snapshot(JOBS_TABLE), self.table.read(LEARNED_KEY)
+        )
         progress = await self.table.snapshot(PROGRESS_TABLE)
         listing = await self.read_workers()
-        learned = await self.table.read(LEARNED_KEY)
         value = None if learned is None else learned.value
         self.learned.restore(value, self.clock.now(), self.wall_clock())
         changes = decode_job_rows(jobs.rows, jobs.version)
