Place by the room that is left for what usually comes, gangs on workers of like speed

Cause: the order by free accelerators ignores memory and processors, which bind first on workers of 512 GB with tasks of 270 GB, and a gang is as slow as its slowest worker. Change: scheduling/packing.py measures the recently submitted tasks that no longer fit after a placement; it is used where such tasks differ in what they bind. Gangs choose among bands of speeds; work that is nearly late takes fast workers, other work leaves them free.

--- a/src/jaypier/jobs/placement.py
+++ b/src/jaypier/jobs/placement.py
@@ -8,6 +8,13 @@
 
 from jaypier.jobs.model import Resources, Step
 from jaypier.jobs.state import StepState, Worker
+from jaypier.scheduling.packing import (
+    Option,
+    Packing,
+    excess_speed,
+    speed_bands,
+    speed_level,
+)
 
 FreeResourcesOf = Callable[[Worker], Resources]
 """Returns the resources of a worker that a step may use."""
@@ -77,14 +84,17 @@
     workers: Iterable[Worker],
     free_of: FreeResourcesOf,
     placed: Counter[str] | None = None,
+    is_pressing: bool = False,
 ) -> list[WorkerSlots]:
     """Return the workers on which tasks of a step fit, the best fit first.
 
     Workers in the rack of the step's data come first, then those with the fewest free accelerators,
-    so that whole workers stay free for wide gangs. Ties are broken by free processors.
+    so that whole workers stay free for wide gangs. Ties are broken by speed, then by free
+    processors.
 
     :param free_of: returns the resources of a worker that may be used.
     :param placed: number of tasks of the step that run already, by worker id.
+    :param is_pressing: whether the step needs fast workers; other work leaves them free.
     """
     placed = placed or Counter()
     demand, data_rack = step.demand, step.data_rack
@@ -96,7 +106,8 @@
         tasks = max_tasks_on(step, worker, free, placed[worker.id])
         if tasks > 0:
             is_remote = bool(data_rack) and worker.entry.rack != data_rack
-            order = (is_remote, free.accelerators, free.processor_millis, worker.id)
+            level = speed_level(worker.speed) * (-1 if is_pressing else 1)
+            order = (is_remote, free.accelerators, level, free.processor_millis, worker.id)
             found.append((order, WorkerSlots(worker, tasks)))
     found.sort(key=itemgetter(0))
     return [slots for _, slots in found]
@@ -125,6 +136,61 @@
     return assign_in_order(sorted(ranked, key=lambda slots: -slots.tasks), count)
 
 
+def assign_tasks(
+    step: Step,
+    ranked: Sequence[WorkerSlots],
+    free_of: FreeResourcesOf,
+    count: int,
+    packing: Packing | None = None,
+) -> list[Worker]:
+    """Return a worker for each of ``count`` independent tasks, or for as many as fit.
+
+    :param ranked: workers on which tasks fit, the best fit first.
+    :param free_of: returns the resources of a worker that may be used.
+    :param packing: what usually comes, ``None`` to use the workers in the given order.
+    """
+    if packing is None or not packing.is_active:
+        return assign_in_order(ranked, count)
+    return packing.assign(step.reserved, packing_options(step, ranked, free_of), count)
+
+
+def packing_options(
+    step: Step, ranked: Iterable[WorkerSlots], free_of: FreeResourcesOf
+) -> list[Option]:
+    """Return the workers on which tasks fit as options for packing.
+
+    :param ranked: these workers, the best fit first.
+    """
+    return [
+        Option(
+            worker=slots.worker,
+            free=free_of(slots.worker),
+            tasks=slots.tasks,
+            preference=bool(step.data_rack) and slots.worker.entry.rack != step.data_rack,
+            tie_break=(number,),
+        )
+        for number, slots in enumerate(ranked)
+    ]
+
+
+def assign_gang(
+    step: Step,
+    ranked: Sequence[WorkerSlots],
+    free_of: FreeResourcesOf,
+    packing: Packing | None = None,
+) -> list[Worker]:
+    """Return a worker for each task of a gang, or an empty list if they do not all fit.
+
+    :param ranked: workers on which tasks fit, the best fit first.
+    :param packing: what usually comes, ``None`` to use as few workers as possible.
+    """
+    if packing is None or not packing.is_active:
+        return assign_to_fewest_workers(ranked, step.count)
+    if count_tasks(ranked) < step.count:
+        return []
+    return assign_tasks(step, ranked, free_of, step.count, packing)
+
+
 def group_by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
     """Return workers by rack."""
     racks: dict[str, list[Worker]] = defaultdict(list)
@@ -134,32 +200,92 @@
 
 
 def place_gang(
-    step: Step, workers: Sequence[Worker], free_of: FreeResourcesOf, all_workers: Sequence[Worker]
+    step: Step,
+    workers: Sequence[Worker],
+    free_of: FreeResourcesOf,
+    all_workers: Sequence[Worker],
+    packing: Packing | None = None,
+    is_pressing: bool = False,
 ) -> list[Worker]:
     """Return a worker for each task of a gang, or an empty list if it does not fit now.
 
-    A rack-local gang is placed on the rack with the fewest slots that suffice (best fit). It is
-    spread over several racks only if no rack could hold it even when idle.
+    Workers of like speed are preferred, because the slowest sets the pace of a gang. A rack-local
+    gang is placed on the rack that loses the least room for what usually comes, of equal ones on
+    that with the fewest slots that suffice (best fit). It is spread over several racks only if no
+    rack could hold it even when idle.
 
     :param workers: workers that may be used now.
     :param free_of: returns the resources of a worker that may be used.
     :param all_workers: all workers that the gang could ever use, for the check whether one rack
         could hold it.
+    :param packing: what usually comes, ``None`` to go by the number of slots only.
+    :param is_pressing: whether the gang needs fast workers; other work leaves them free.
     """
-    found = slots_by_fit(step, workers, free_of)
-    if not step.is_rack_local:
-        return assign_to_fewest_workers(found, step.count)
+    found = slots_by_fit(step, workers, free_of, is_pressing=is_pressing)
+    bands = speed_bands(slots.worker.speed for slots in found)
+    groups = slots_by_rack(found) if step.is_rack_local else [found]
+    placements = [
+        (chosen, band.start)
+        for group in groups
+        for band in bands
+        if (chosen := assign_gang(step, slots_in_band(group, band), free_of, packing))
+    ]
+    if placements:
+
+        def order(placement: tuple[list[Worker], int]) -> tuple[float, float]:
+            chosen, pace = placement
+            cost = cost_of(step, chosen, free_of, packing)
+            return (-pace, cost) if is_pressing else (cost, pace)
+
+        return min(placements, key=order)[0]
+    if not step.is_rack_local or can_fit_one_rack(step, all_workers):
+        return []
+    # Tasks in several racks are slow already, so the gang takes the fastest workers that suffice.
+    fastest_first = sorted(bands, key=lambda band: (-band.start, len(band)))
+    spread = (spread_over_racks(step, slots_in_band(found, band)) for band in fastest_first)
+    return next((chosen for chosen in spread if chosen), [])
+
+
+def slots_by_rack(slots: Iterable[WorkerSlots]) -> list[list[WorkerSlots]]:
+    """Return slots grouped by rack, the rack with the fewest tasks first."""
     racks: dict[str, list[WorkerSlots]] = defaultdict(list)
-    for slots in found:
-        racks[slots.worker.entry.rack].append(slots)
-    totals = {rack: sum(slots.tasks for slots in each) for rack, each in racks.items()}
-    fitting = [(total, rack) for rack, total in totals.items() if total >= step.count]
-    if fitting:
-        return assign_to_fewest_workers(racks[min(fitting)[1]], step.count)
-    if can_fit_one_rack(step, all_workers) or sum(totals.values()) < step.count:
+    for each in slots:
+        racks[each.worker.entry.rack].append(each)
+    return [
+        racks[rack] for rack in sorted(racks, key=lambda rack: (count_tasks(racks[rack]), rack))
+    ]
+
+
+def count_tasks(slots: Iterable[WorkerSlots]) -> int:
+    """Return the number of tasks that fit on workers."""
+    return sum(each.tasks for each in slots)
+
+
+def slots_in_band(slots: Iterable[WorkerSlots], band: range) -> list[WorkerSlots]:
+    """Return the slots on workers of a band of speeds."""
+    return [each for each in slots if speed_level(each.worker.speed) in band]
+
+
+def spread_over_racks(step: Step, found: Sequence[WorkerSlots]) -> list[Worker]:
+    """Return a worker for each task of a gang in as few racks as possible, empty if it cannot."""
+    if count_tasks(found) < step.count:
         return []
-    widest_first = sorted(racks, key=lambda rack: -totals[rack])
-    return assign_in_order([slots for rack in widest_first for slots in racks[rack]], step.count)
+    widest_first = sorted(slots_by_rack(found), key=count_tasks, reverse=True)
+    return assign_in_order([slots for rack in widest_first for slots in rack], step.count)
+
+
+def cost_of(
+    step: Step, chosen: Sequence[Worker], free_of: FreeResourcesOf, packing: Packing | None
+) -> float:
+    """Return what the placement of a gang takes from others.
+
+    :param chosen: worker of each task.
+    """
+    speeds = [worker.speed for worker in chosen]
+    if packing is None or not packing.is_active:
+        return excess_speed(speeds)
+    used = ((free_of(worker), tasks) for worker, tasks in Counter(chosen).items())
+    return packing.gang_cost(step.reserved, used, speeds)
 
 
 def can_fit_one_rack(step: Step, workers: Iterable[Worker]) -> bool:
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -19,7 +19,7 @@
 from jaypier.jobs.model import URGENT_PRIORITY, Job, JobStatus, Resources
 from jaypier.jobs.placement import (
     FreeResourcesOf,
-    assign_in_order,
+    assign_tasks,
     can_fit_one_rack,
     group_by_rack,
     is_in_pool,
@@ -30,6 +30,7 @@
 from jaypier.jobs.preemption import Fit, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
+from jaypier.scheduling.packing import Packing
 
 PROVEN_SECONDS = 3.0
 """Age of the last success on a worker up to which it is preferred for work that has failed."""
@@ -43,6 +44,10 @@
 run and to receive two reports."""
 
 
+PRESSING_SHARE = 0.25
+"""Slack of a job, as a share of its remaining critical path, up to which it needs fast workers."""
+
+
 @attrs.define(eq=False)
 class Reservation:
     """Capacity that is being freed by preemption for an urgent step.
@@ -81,6 +86,7 @@
     :ivar holds: workers held for waiting gangs; other tasks only start there if they are expected
         to end before the gang can start.
     :ivar headroom: workers that are kept free for urgent jobs.
+    :ivar packing: what recently submitted tasks need, by which workers are chosen.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     """
@@ -96,6 +102,7 @@
         self.valuation = Valuation(values or ValueSettings())
         self.holds = GangHolds()
         self.headroom = Headroom()
+        self.packing = Packing()
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
@@ -112,6 +119,7 @@
             first = state.spec.steps[0]
             self.headroom.observe_arrival(first.count * first.demand.accelerators, now)
         self.valuation.observe(state)
+        self.packing.observe(state.spec.steps)
 
     # Passes
 
@@ -133,6 +141,7 @@
             return Plan([], [])
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
+        self.packing.refresh((worker.entry.capacity for worker in workers), now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
         unplaceable: dict[tuple, int] = {}
         preempting_steps = 0
@@ -317,7 +326,11 @@
         if step.spec.is_gang:
             failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
             choices = self.choices_for(permitted, failed_on, now)
-            placements = (place_gang(step.spec, each, free_of, candidates) for each in choices)
+            is_pressing = self.is_pressing(step, now)
+            placements = (
+                place_gang(step.spec, each, free_of, candidates, self.packing, is_pressing)
+                for each in choices
+            )
             chosen = next((placed for placed in placements if placed), [])
             if not chosen:
                 return []
@@ -331,6 +344,15 @@
             permitted = self.isolation.trial_workers(step, permitted, free_of, placed)
         return self.place_independent_tasks(step, permitted, free_of, now)
 
+    def is_pressing(self, step: StepState, now: float) -> bool:
+        """Whether a step needs fast workers: its job is in time still, but not on slow ones.
+
+        :param now: time on the local clock, in seconds.
+        """
+        remaining = step.job.remaining_critical_path_seconds()
+        slack = step.job.spec.objective_seconds - (now - step.job.added_at) - remaining
+        return 0 <= slack < PRESSING_SHARE * remaining
+
     def candidate_workers(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Return the workers that a step may use.
 
@@ -405,10 +427,11 @@
         suspects = step.job.crash_suspects
         waiting = sorted(step.waiting, key=lambda task: task.id not in suspects)
         never_failed = [task for task in waiting if not task.failed_on]
-        chosen = assign_in_order(
-            slots_by_fit(step.spec, candidates, free_of, self.tasks_per_worker(step)),
-            len(never_failed),
+        is_pressing = self.is_pressing(step, now)
+        ranked = slots_by_fit(
+            step.spec, candidates, free_of, self.tasks_per_worker(step), is_pressing
         )
+        chosen = assign_tasks(step.spec, ranked, free_of, len(never_failed), self.packing)
         started = [
             self.assign_independent_task(step, task, worker, now)
             for task, worker in zip(never_failed, chosen, strict=False)
@@ -416,7 +439,7 @@
         for task in [task for task in step.waiting if task.failed_on]:
             choices = self.choices_for(candidates, task.failed_on, now)
             ranked = (
-                slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step))
+                slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step), is_pressing)
                 for each in choices
             )
             found = next((slots for slots in ranked if slots), [])
--- a/src/jaypier/jobs/tests/load_player.py
+++ b/src/jaypier/jobs/tests/load_player.py
@@ -93,6 +93,7 @@
     """A load and the workers that it meets.
 
     :param seconds: time during which jobs arrive.
+    :param speeds: speeds of the workers by turns.
     """
 
     kinds: tuple[JobKind, ...]
@@ -102,6 +103,7 @@
     seconds: float
     teams: int = 4
     guaranteed: int = 16
+    speeds: tuple[float, ...] = (1.0,)
 
 
 @attrs.define(eq=False)
@@ -225,7 +227,9 @@
         for number in range(load.workers):
             rack = f"rack-{number // load.workers_per_rack}"
             entry = make_entry(f"worker-{number:03}", rack, capacity=load.capacity)
-            self.cluster_state.register_worker(entry, 0.0).is_reconciled = True
+            worker = self.cluster_state.register_worker(entry, 0.0)
+            worker.is_reconciled = True
+            worker.speed = load.speeds[number % len(load.speeds)]
         self.planner = make_planner(self.cluster_state)
         self.planner.guarantees = {
             f"team-{number}": load.guaranteed for number in range(load.teams)
@@ -294,9 +298,11 @@
             return
         racks = {each.worker.entry.rack for each in step.runs}
         is_remote = step.spec.is_rack_local and len(racks) > 1
-        for each in step.runs if step.spec.is_gang else [run]:
+        started = list(step.runs) if step.spec.is_gang else [run]
+        speed = min(each.worker.speed for each in started)
+        for each in started:
             seconds = self.jobs[each.task.job_id].durations[step.number][each.task.index]
-            seconds *= REMOTE_FACTOR if is_remote else 1.0
+            seconds *= (REMOTE_FACTOR if is_remote else 1.0) / speed
             seconds *= 1 - self.done_share[each.task]
             restore = RESTORE_SECONDS if self.done_share[each.task] else 0.0
             self.began_work[each] = self.now + restore
