--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -20,7 +20,7 @@
 from jaypier.jobs.model import URGENT_PRIORITY, Job, JobStatus, Resources
 from jaypier.jobs.placement import (
     FreeResourcesOf,
-    assign_in_order,
+    assign_tasks,
     can_fit_one_rack,
     group_by_rack,
     is_in_pool,
@@ -31,6 +31,7 @@
 from jaypier.jobs.preemption import Fit, StopCosts, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
+from jaypier.scheduling.packing import Packing
 from jaypier.scheduling.rooms import ContendedPools
 from jaypier.scheduling.team_limits import TeamLimits
 
@@ -46,6 +47,10 @@
 run and to receive two reports."""
 
 
+PRESSING_SHARE = 0.25
+"""Slack of a job, as a share of its remaining critical path, up to which it needs fast workers."""
+
+
 @attrs.define(eq=False)
 class Reservation:
     """Capacity that is being freed by preemption for an urgent step.
@@ -85,6 +90,7 @@
     :ivar holds: workers held for waiting gangs; other tasks only start there if they are expected
         to end before the gang can start.
     :ivar headroom: workers that are kept free for urgent jobs.
+    :ivar packing: what recently submitted tasks need, by which workers are chosen.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
@@ -103,6 +109,7 @@
         self.valuation = Valuation(values or ValueSettings())
         self.holds = GangHolds()
         self.headroom = Headroom()
+        self.packing = Packing()
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.covered: set[str] = set()
@@ -123,6 +130,7 @@
             first = state.spec.steps[0]
             self.headroom.observe_arrival(first.count * first.demand.accelerators, now)
         self.valuation.observe(state)
+        self.packing.observe(state.spec.steps)
 
     # Passes
 
@@ -146,6 +154,7 @@
         self.valuation.observe_workers(workers)
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
+        self.packing.refresh((worker.entry.capacity for worker in workers), now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
         self.team_limits.refresh(self.cluster_state, now)
         unplaceable: dict[tuple, int] = {}
@@ -358,7 +367,11 @@
         if step.spec.is_gang:
             failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
             choices = self.choices_for(permitted, failed_on, now)
-            placements = (place_gang(step.spec, each, free_of, candidates) for each in choices)
+            is_pressing = self.is_pressing(step, now)
+            placements = (
+                place_gang(step.spec, each, free_of, candidates, self.packing, is_pressing)
+                for each in choices
+            )
             chosen = next((placed for placed in placements if placed), [])
             if not chosen:
                 return []
@@ -372,6 +385,15 @@
             permitted = self.isolation.trial_workers(step, permitted, free_of, placed)
         return self.place_independent_tasks(step, permitted, free_of, now)
 
+    def is_pressing(self, step: StepState, now: float) -> bool:
+        """Whether a step needs fast workers: its job is in time still, but not on slow ones.
+
+        :param now: time on the local clock, in seconds.
+        """
+        remaining = step.job.remaining_critical_path_seconds()
+        slack = step.job.objective_seconds - (now - step.job.added_at) - remaining
+        return 0 <= slack < PRESSING_SHARE * remaining
+
     def candidate_workers(self, step: StepState, workers: list[Worker], now: float) -> list[Worker]:
         """Return the workers that a step may use.
 
@@ -447,10 +469,11 @@
         waiting = sorted(step.waiting, key=lambda task: task.id not in suspects)
         waiting = waiting[: self.team_limits.affordable_tasks(step)]
         never_failed = [task for task in waiting if not task.failed_on]
-        chosen = assign_in_order(
-            slots_by_fit(step.spec, candidates, free_of, self.tasks_per_worker(step)),
-            len(never_failed),
+        is_pressing = self.is_pressing(step, now)
+        ranked = slots_by_fit(
+            step.spec, candidates, free_of, self.tasks_per_worker(step), is_pressing
         )
+        chosen = assign_tasks(step.spec, ranked, free_of, len(never_failed), self.packing)
         started = [
             self.assign_independent_task(step, task, worker, now)
             for task, worker in zip(never_failed, chosen, strict=False)
@@ -458,7 +481,7 @@
         for task in [task for task in waiting if task.failed_on]:
             choices = self.choices_for(candidates, task.failed_on, now)
             ranked = (
-                slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step))
+                slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step), is_pressing)
                 for each in choices
             )
             found = next((slots for slots in ranked if slots), [])
