--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -439,17 +439,20 @@
             self.scheduling_requested.clear()
             started_at = self.clock.now()
             try:
-                self.run_scheduling_pass()
+                pass_seconds = self.run_scheduling_pass()
             except Exception as error:
                 self.metrics.count("leader.plan_failures")
                 log.error("scheduling pass failed", exc_info=error)
-            pass_seconds = self.clock.now() - started_at
+                pass_seconds = self.clock.now() - started_at
 
-    def run_scheduling_pass(self) -> None:
+    def run_scheduling_pass(self) -> float:
         """Stop runs that are not needed, decide which to start and preempt, and send the requests.
 
         An error that concerns one job sets that job aside.
+
+        :returns: duration of the decisions in seconds.
         """
+        plan_seconds = 0.0
         self.reconcile_workers()
         log_crashes(self.cluster_state.crashes, self.metrics)
         self.stop_runs(self.cluster_state.mark_obsolete_runs(), "no longer needed")
@@ -458,7 +461,8 @@
         if self.has_authority:
             started_at = self.clock.now()
             plan, failures = plan_with_failures(self.planner, started_at, self.wall_clock())
-            self.metrics.record("leader.plan", self.clock.now() - started_at)
+            plan_seconds = self.clock.now() - started_at
+            self.metrics.record("leader.plan", plan_seconds)
             for failure in failures:
                 self.metrics.count("leader.plan_failures")
                 log.error("planning failed", job=failure.job_id, exc_info=failure.error)
@@ -467,6 +471,7 @@
                 self.spawn(self.start_run(run), f"start {run.task}")
         if self.cluster_state.dirty_jobs:
             self.progress_writer.write_requested.set()
+        return plan_seconds
 
     def reconcile_workers(self) -> None:
         """Stop waiting for reports of workers on which no run of an earlier leader can be active.
--- a/src/jaypier/jobs/worker_interface.py
+++ b/src/jaypier/jobs/worker_interface.py
@@ -53,7 +53,8 @@
         """Start a run; repeating a request has no further effect.
 
         :param epoch: epoch of the leader.
-        :returns: the worker's response; ``DEPOSED`` when it has accepted a newer epoch.
+        :returns: the worker's response; ``DEPOSED`` when it has accepted a newer epoch. A refusal
+            does not tell what becomes of an earlier request without a response.
         :raises WorkerUnreachable: when there is no usable response.
         """
 
