Refuse at submission what certainly ends after it has become worthless

Cause: nothing was refused, so callers of jobs that could not be done in time learned it at the end.

The leader summarizes what is ahead of new jobs in overloaded pools; the summary travels on the leader's row with its renewals and is absent otherwise. Daemons refuse by it with 429 and Retry-After, or without one if no worker is large enough. Missing or old summaries, urgent jobs of teams with a guarantee, long-running and timed jobs are accepted. A refusal is stored at the job's key, so that an earlier request for the same id that is still being served, or its delayed write, cannot store the job after the caller was told that it never runs; a later request replaces it. The leader deletes these rows when their retention is over.

Off by default (overload.refuses).

--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -14,7 +14,7 @@
 from jaypier.entry.configuration import Configuration, Route
 from jaypier.entry.watcher import ConfigurationWatcher
 from jaypier.jobs.model import Job, JobStatus
-from jaypier.jobs.rows import JobTable, JobTooLarge
+from jaypier.jobs.rows import JobRefused, JobTable, JobTooLarge
 from jaypier.platform import PlatformRefused, PlatformUnavailable
 from jaypier.platform.callers import (
     BadRequest,
@@ -26,6 +26,7 @@
     pending_response,
     state_response,
 )
+from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -79,6 +80,8 @@
     :param revocation_seconds: time after which a removed key must no longer be accepted.
     :param wall_clock: returns Unix time in seconds.
     :param is_isolated: returns whether this VM reaches neither the store nor other VMs.
+    :param decide_admission: returns whether a job is refused because of an overload, by the job and
+        the guaranteed accelerators of its team.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         rng: random.Random,
         wall_clock: Callable[[], float] = time.time,
         is_isolated: Callable[[], bool] = lambda: False,
+        decide_admission: Callable[[Job, int], Admission] = lambda job, guaranteed: ACCEPTED,
     ) -> None:
         self.watcher = watcher
         self.jobs = jobs
@@ -100,6 +104,7 @@
         self.rng = rng
         self.wall_clock = wall_clock
         self.is_isolated = is_isolated
+        self.decide_admission = decide_admission
         self.pending: dict[str, int] = {}
         self.pending_read_at = float("-inf")
 
@@ -170,7 +175,12 @@
         return error_response(405, f"{method} is not supported; use GET, POST or DELETE")
 
     async def submit(self, call: Call) -> HttpResponse:
-        """Store a job; a resubmission of the same request succeeds as well."""
+        """Store a job, or refuse it in an overload.
+
+        A resubmission of a request that has been accepted succeeds as well. A refusal is stored, so
+        that no other request with the id that is still being served stores the job after it.
+        """
+        received_at = self.jobs.table.store_time()
         route = call.route
         try:
             request = decode_job(call.request.body)
@@ -197,13 +207,33 @@
 
         async def accept(call: Call) -> HttpResponse:
             try:
-                if await self.jobs.accept(job):
+                if await self.jobs.accept(job, received_at):
                     return accepted_response()
             except JobTooLarge as error:
                 return error_response(413, str(error))
+            except JobRefused as error:
+                return error_response(429, str(error), self.retry_after)
             return error_response(409, f"another job has the identity {job.id}")
 
-        response = await self.run_with_retries(call, accept)
+        admission = self.decide_admission(job, self.guaranteed_accelerators(call.team))
+
+        async def refuse(call: Call) -> HttpResponse:
+            if not await self.jobs.refuse(job):
+                return accepted_response()
+            self.metrics.count("front.overload_refusals")
+            log.info(
+                "job refused, overload",
+                job=job.id,
+                queue=job.queue,
+                reason=admission.reason,
+                need=admission.room_seconds,
+                wait=admission.wait,
+                age=admission.age,
+                retry_after=admission.retry_after,
+            )
+            return error_response(429, f"not run: {admission.reason}", admission.retry_after)
+
+        response = await self.run_with_retries(call, refuse if admission.is_refused else accept)
         log.info(
             "job submitted",
             job=job.id,
@@ -213,6 +243,11 @@
         )
         return response
 
+    def guaranteed_accelerators(self, team_name: str) -> int:
+        """Return the number of accelerators that a team is guaranteed."""
+        teams = self.watcher.configuration.teams
+        return next((each.guaranteed_accelerators for each in teams if each.name == team_name), 0)
+
     @property
     def retry_after(self) -> int:
         """Seconds after which a request that cannot be served now may be sent again."""
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -18,6 +18,7 @@
 from jaypier.jobs.election import Election
 from jaypier.jobs.fenced_writer import FencedWriter
 from jaypier.jobs.leader import Leader, LeaderSettings
+from jaypier.jobs.model import Job
 from jaypier.jobs.rows import JobTable
 from jaypier.notes.cache import EntityCache
 from jaypier.notes.service import NoteService
@@ -31,6 +32,7 @@
 from jaypier.relay.notifier import NOTIFICATION_PATH, LeaderNotifier
 from jaypier.relay.peers import PeerList
 from jaypier.relay.transport import FailoverTransport
+from jaypier.scheduling.overload import ACCEPTED, Admission, decide_admission, decode_summary
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import HttpLimits, HttpServer
@@ -94,6 +96,7 @@
             self.metrics,
             self.rng,
             is_isolated=lambda: self.transport.is_isolated,
+            decide_admission=self.decide_admission,
         )
 
     # HTTP endpoints
@@ -196,6 +199,7 @@
                     self.settings.bounds.restore,
                     self.settings.bounds.status,
                     self.settings.values,
+                    self.settings.overload,
                 ),
                 self.clock,
                 time.time,
@@ -214,6 +218,22 @@
                 update_task.cancel()
                 self.leader = None
 
+    def decide_admission(self, job: Job, guaranteed: int) -> Admission:
+        """Decide by the newest summary of the leader whether a job is refused in an overload.
+
+        :param guaranteed: guaranteed accelerators of the job's team.
+        """
+        if not self.settings.overload.refuses or self.election is None:
+            return ACCEPTED
+        # While this daemon leads, its election does not see the renewals.
+        writer = None if self.leader is None else self.leader.writer
+        record = writer.record if writer is not None else self.election.record
+        renewed_at = writer.renewed_at if writer is not None else self.election.last_renewal_at
+        age = self.clock.now() - renewed_at
+        spread = self.rng.random()
+        summary = decode_summary(record.load)
+        return decide_admission(job, summary, age, guaranteed, self.settings.values, spread)
+
     def find_leader(self) -> str:
         """Return the name of the VM that leads, as far as this daemon knows; empty if none does."""
         owner = self.election.record.owner if self.election is not None else ""
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -10,6 +10,7 @@
 from jaypier.core.codec import DecodeError, structure_strictly
 from jaypier.core.errors import JaypierError
 from jaypier.jobs.valuation import ValueSettings
+from jaypier.scheduling.overload import OverloadSettings
 
 MIN_TOKEN_LENGTH = 16
 """Minimum number of characters of a token, so that it cannot be guessed."""
@@ -124,6 +125,7 @@
     :param operators: settings for release notes, ``None`` if the configuration comes from the
         platform.
     :param values: what jobs are worth to their callers.
+    :param overload: refusal of jobs at submission.
     :param max_row_bytes: largest value of a row in the store, in bytes.
     """
 
@@ -138,6 +140,7 @@
     bounds: Bounds
     operators: OperatorSettings | None = None
     values: ValueSettings = attrs.field(factory=ValueSettings)
+    overload: OverloadSettings = attrs.field(factory=OverloadSettings)
     max_row_bytes: int = 65536
 
 
@@ -156,6 +159,7 @@
     :param operator_tokens: bearer token of each operator, by name.
     :param processor_share: speed of this VM in cores; faster VMs become leader first.
     :param values: what jobs are worth to their callers.
+    :param overload: refusal of jobs at submission.
     """
 
     id: str = attrs.field(validator=_validate_name)
@@ -170,6 +174,7 @@
     processor_share: float = attrs.field(default=1.0, validator=_validate_processor_share)
     bounds: Bounds = attrs.field(factory=Bounds)
     values: ValueSettings = attrs.field(factory=ValueSettings)
+    overload: OverloadSettings = attrs.field(factory=OverloadSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
     def __attrs_post_init__(self) -> None:
@@ -197,6 +202,7 @@
             processor_share=self.processor_share,
             bounds=self.bounds,
             values=self.values,
+            overload=self.overload,
             operators=OperatorSettings(Address.parse(self.operator_address), self.operator_tokens),
         )
 
--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -2,12 +2,16 @@
 import json
 import random
 
+import attrs
+import pytest
+
 from jaypier.core.metrics import Metrics
 from jaypier.entry.caller_api import CallerApi
 from jaypier.entry.watcher import ConfigurationWatcher
-from jaypier.jobs.rows import JobTable
-from jaypier.platform import Put, Transaction
+from jaypier.jobs.rows import JobRefused, JobTable, decode_job_row, decode_job_rows
+from jaypier.platform import Condition, ConditionFailed, Put, Transaction
 from jaypier.platform.operators import StoreOperatorSource
+from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.wire.messages import HttpRequest
 from standins.cluster import MemoryStore
 from standins.protocol import encode_configuration
@@ -26,6 +30,7 @@
         rng = random.Random(2)
         self.watcher = ConfigurationWatcher(StoreOperatorSource(self.store), self.clock, rng)
         self.is_isolated = False
+        self.admission = ACCEPTED
         self.caller_api = CallerApi(
             self.watcher,
             JobTable(self.store),
@@ -35,6 +40,7 @@
             rng,
             self.clock.now,
             lambda: self.is_isolated,
+            lambda job, guaranteed: self.admission,
         )
         self.watch_task: asyncio.Task | None = None
 
@@ -301,3 +307,118 @@
             assert response.status == 200
 
         run_scenario(scenario)
+
+
+class TestOverload:
+    """A refusal says that a job never runs, so no request for it may store it afterwards."""
+
+    REFUSED = Admission(True, "expected wait too long", 30.0, 2.0, 0.5, 7)
+
+    def test_refused_job_is_unknown_and_never_runs(self):
+        async def scenario(harness):
+            harness.admission = self.REFUSED
+            response = await harness.submit()
+            assert response.status == 429
+            assert (b"retry-after", b"7") in response.headers
+            assert await harness.state() == 410
+            assert decode_job_rows(list(harness.store.rows.values()), 1).accepted == []
+
+        run_scenario(scenario)
+
+    def test_job_that_can_never_be_served_has_no_retry_after(self):
+        async def scenario(harness):
+            harness.admission = Admission(True, "no worker is large enough")
+            response = await harness.submit()
+            assert response.status == 429
+            assert not any(name == b"retry-after" for name, _ in response.headers)
+
+        run_scenario(scenario)
+
+    def test_accepted_job_is_not_refused_when_it_arrives_again(self):
+        async def scenario(harness):
+            assert (await harness.submit()).status == 200
+            harness.admission = self.REFUSED
+            assert (await harness.submit()).status == 200
+            assert await harness.state() == "queued"
+
+        run_scenario(scenario)
+
+    def test_earlier_request_does_not_store_the_job_after_a_refusal(self):
+        """The first request waits at another VM, which reaches the store late."""
+
+        async def scenario(harness):
+            await harness.submit("f" * 16)
+            job = decode_job_row(harness.store.rows["jobs/" + "f" * 16])
+            received_at = harness.store.store_time()
+            await asyncio.sleep(0.1)
+            harness.admission = self.REFUSED
+            await harness.submit()
+            with pytest.raises(JobRefused):
+                await JobTable(harness.store).accept(attrs.evolve(job, id=JOB), received_at)
+            assert await harness.state() == 410
+
+        run_scenario(scenario)
+
+    def test_delayed_write_of_an_earlier_request_has_no_effect(self):
+        async def scenario(harness):
+            await harness.submit("f" * 16)
+            value = {**harness.store.rows["jobs/" + "f" * 16].value, "id": JOB}
+            delayed = Transaction([Condition(f"jobs/{JOB}", 0)], [Put(f"jobs/{JOB}", value)])
+            harness.admission = self.REFUSED
+            await harness.submit()
+            with pytest.raises(ConditionFailed):
+                await harness.store.commit(delayed)
+
+        run_scenario(scenario)
+
+    def test_caller_that_returns_is_accepted(self):
+        async def scenario(harness):
+            harness.admission = self.REFUSED
+            assert (await harness.submit()).status == 429
+            harness.admission = ACCEPTED
+            await asyncio.sleep(1.0)
+            assert (await harness.submit()).status == 200
+            assert await harness.state() == "queued"
+
+        run_scenario(scenario)
+
+    def test_refusal_whose_response_is_lost_is_repeated(self):
+        async def scenario(harness):
+            harness.admission = self.REFUSED
+            harness.store.lost_response_probability = 1.0
+            task = asyncio.create_task(harness.submit())
+            await asyncio.sleep(0.3)
+            harness.store.lost_response_probability = 0.0
+            assert (await task).status == 429
+            assert await harness.state() == 410
+
+        run_scenario(scenario)
+
+    def test_nothing_is_refused_for_good_while_the_store_is_down(self):
+        async def scenario(harness):
+            harness.admission = self.REFUSED
+            harness.store.is_down = True
+            response = await harness.submit()
+            harness.store.is_down = False
+            assert response.status in (503, 504)
+            assert f"jobs/{JOB}" not in harness.store.rows
+
+        run_scenario(scenario)
+
+    def test_refusal_is_forgotten_unless_the_job_was_accepted_since(self):
+        async def scenario(harness):
+            table, key = JobTable(harness.store), f"jobs/{JOB}"
+            harness.admission = self.REFUSED
+            await harness.submit()
+            version = harness.store.rows[key].version
+            await table.forget_refusal(JOB, version)
+            assert await table.find(JOB) is None
+            await harness.submit()
+            version = harness.store.rows[key].version
+            harness.admission = ACCEPTED
+            await asyncio.sleep(1.0)
+            await harness.submit()
+            await table.forget_refusal(JOB, version)
+            assert await harness.state() == "queued"
+
+        run_scenario(scenario)
--- a/src/jaypier/entry/tests/test_settings.py
+++ b/src/jaypier/entry/tests/test_settings.py
@@ -89,6 +89,14 @@
     def test_unknown_log_format(self):
         self.assert_error({"log": {"format": "xml"}}, "log", "use one of: json, console")
 
+    def test_refusal_in_overload(self):
+        self.assert_error({"overload": {"begins_at": 0}}, "overload", "0.0 is out of range")
+        self.assert_error({"overload": {"refuses": 1}}, "overload.refuses", "expected bool")
+        self.path.write_text(json.dumps(valid_settings() | {"overload": {"refuses": True}}))
+        self.assertTrue(load_settings(self.path).to_vm_settings().overload.refuses)
+        self.path.write_text(json.dumps(valid_settings()))
+        self.assertFalse(load_settings(self.path).to_vm_settings().overload.refuses)
+
     def test_values_of_jobs(self):
         self.assert_error({"values": {"late_share": 2}}, "values", "2.0 is out of range; use 0.0")
         self.assert_error({"values": {"priority_weights": []}}, "values", "the list is empty")
--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+from typing import Any
 
 import attrs
 import structlog
 
 from jaypier.core.clock import Clock
-from jaypier.core.codec import from_plain, to_plain
+from jaypier.core.codec import from_plain, to_compact
 from jaypier.platform import (
     Condition,
     ConditionFailed,
@@ -44,12 +45,15 @@
     :param renewals: number of renewals since the row was claimed.
     :param renewed_at: the store's clock at the last renewal, in seconds. With it, a daemon that
         has just started recognizes at once that the leader has timed out.
+    :param load: load of the overloaded pools as plain values, ``None`` while there are none. It is
+        decoded where it is used, so that a load of another build does not make the row unreadable.
     """
 
     owner: str
     epoch: int
     renewals: int = 0
     renewed_at: float = 0.0
+    load: Any = None
 
 
 class Election:
@@ -149,7 +153,7 @@
         """
         record = LeaderRecord(self.owner, self.record.epoch + 1, renewed_at=self.table.store_time())
         transaction = Transaction(
-            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(record))]
+            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_compact(record))]
         )
         try:
             version = await self.table.commit(transaction)
--- a/src/jaypier/jobs/fenced_writer.py
+++ b/src/jaypier/jobs/fenced_writer.py
@@ -1,13 +1,14 @@
 """The leader's writes: in order, in batches, and rejected once another daemon leads."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 import structlog
 
 from jaypier.core.clock import Clock
-from jaypier.core.codec import from_plain, to_plain
+from jaypier.core.codec import from_plain, to_compact
 from jaypier.core.errors import JaypierError
 from jaypier.jobs.election import LEADER_KEY, RENEWAL_INTERVAL_SECONDS, LeaderRecord
 from jaypier.platform import (
@@ -19,6 +20,7 @@
     Transaction,
     WatchableTable,
 )
+from jaypier.scheduling.overload import LoadSummary, encode_summary
 
 SEQUENCE_KEY = "turns/turn"
 
@@ -44,6 +46,7 @@
 
     :param record: content of the leader's row.
     :param version: version of the leader's row.
+    :ivar summarize_load: returns the load that the leader's row tells other daemons of.
     :ivar confirmed_at: time on the local clock, in seconds, at which the last confirmed write was
         sent.
     :ivar renewed_at: time on the local clock, in seconds, of the last confirmed renewal.
@@ -57,6 +60,7 @@
         self.version = version
         self.sequence_version = 0
         self.clock = clock
+        self.summarize_load: Callable[[], LoadSummary | None] = lambda: None
         self.confirmed_at = clock.now()
         self.renewed_at = clock.now()
 
@@ -134,8 +138,9 @@
                 self.record,
                 renewals=self.record.renewals + 1,
                 renewed_at=self.table.store_time(),
+                load=encode_summary(self.summarize_load()),
             )
-            leader_puts.append(Put(LEADER_KEY, to_plain(self.record)))
+            leader_puts.append(Put(LEADER_KEY, to_compact(self.record)))
         version = await self.table.commit(Transaction(conditions, leader_puts + puts, deletes))
         self.sequence_version = version
         if renew:
@@ -165,8 +170,8 @@
 
         :raises PlatformError: when the store has not confirmed the write.
         """
-        vacant = attrs.evolve(self.record, owner="")
+        vacant = attrs.evolve(self.record, owner="", load=None)
         transaction = Transaction(
-            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_plain(vacant))]
+            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_compact(vacant))]
         )
         await self.table.commit(transaction)
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -23,6 +23,7 @@
     JOBS_TABLE,
     PROGRESS_TABLE,
     RECORDED_WORKERS_TABLE,
+    JobChanges,
     decode_job_rows,
     decode_worker_entry,
     restore_jobs,
@@ -38,6 +39,7 @@
     WorkerUnreachable,
 )
 from jaypier.platform import HistoryCompacted, PlatformUnavailable, Row, WatchableTable
+from jaypier.scheduling.overload import LoadSummary, OverloadDetector, OverloadSettings
 
 JOBS_LONG_POLL_SECONDS = 2.0
 """Longest wait of a long poll for new jobs; also bounds the time until a dead connection is
@@ -90,12 +92,14 @@
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param status_seconds: time for which callers can query the status of an ended job.
     :param values: what jobs are worth to their callers.
+    :param overload: refusal of jobs at submission.
     """
 
     lease_seconds: float
     restore_seconds: float
     status_seconds: float
     values: ValueSettings = attrs.field(factory=ValueSettings)
+    overload: OverloadSettings = attrs.field(factory=OverloadSettings)
 
 
 class Leader:
@@ -115,6 +119,8 @@
     :ivar is_loaded: whether the state has been read from the store.
     :ivar jobs_version: version of the store up to which all rows of jobs have been applied.
     :ivar workers_version: the same for the entries of workers.
+    :ivar refusals: rows of refused jobs to be deleted in time, as their version and the time on the
+        local clock, in seconds, at which they were read, by id.
     :ivar unreadable_jobs: ids of the jobs whose progress cannot be decoded. They are left alone:
         nobody knows which of their tasks have run.
     """
@@ -141,6 +147,9 @@
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
         self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
+        self.overload = OverloadDetector(settings.overload, self.planner.valuation)
+        self.refusals: dict[str, tuple[int, float]] = {}
+        writer.summarize_load = self.summarize_load
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
@@ -209,6 +218,7 @@
                 state.ended_at = self.clock.now()
             self.cluster_state.insert_job(state)
             self.planner.observe_job(state, self.clock.now())
+        self.observe_refusals(changes)
         self.unreadable_jobs = {job.id for job in changes.accepted} - self.cluster_state.jobs.keys()
         self.jobs_version = jobs.version
         self.workers_version = listing.version
@@ -239,6 +249,28 @@
                 self.apply_entry(entry, now, changes.version)
                 self.cluster_state.deregister_worker(entry.id, now)
 
+    def summarize_load(self) -> LoadSummary | None:
+        """Return the load of the overloaded pools, ``None`` if there are none or it is unknown."""
+        if not self.has_reconciled or not self.settings.overload.refuses:
+            return None
+        before = set(self.overload.overloaded)
+        now = self.clock.now()
+        try:
+            jobs = [each for each in self.cluster_state.jobs.values() if not each.status.is_final]
+            workers = self.planner.usable_workers(now)
+            summary = self.overload.summarize(jobs, workers, now, self.wall_clock())
+        except Exception as error:
+            self.metrics.count("leader.task_failures")
+            log.error("load not summarized", exc_info=error)
+            return None
+        for service in self.overload.overloaded - before:
+            self.metrics.count("leader.overloads")
+            waits = summary.pools[service].waits
+            log.info("overload began", service=service, waits=waits, epoch=self.epoch)
+        for service in before - self.overload.overloaded:
+            log.info("overload ended", service=service, epoch=self.epoch)
+        return summary
+
     # Changes of jobs and workers
 
     async def watch_jobs(self) -> None:
@@ -268,6 +300,7 @@
         :param version: version of the store up to which the rows are complete.
         """
         changes = decode_job_rows(rows, version)
+        self.observe_refusals(changes)
         for job in changes.accepted:
             if job.id in self.unreadable_jobs:
                 continue
@@ -294,6 +327,15 @@
         if rows:
             self.scheduling_requested.set()
 
+    def observe_refusals(self, changes: JobChanges) -> None:
+        """Record the rows of refused jobs, which are deleted after a time."""
+        for job in changes.accepted:
+            self.refusals.pop(job.id, None)
+        now = self.clock.now()
+        self.refusals.update(
+            (job_id, (version, now)) for job_id, version in changes.refusals.items()
+        )
+
     def apply_notified_row(self, row: Row) -> None:
         """Apply a row of the jobs table of which a daemon has told this leader.
 
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -11,9 +11,16 @@
 from jaypier.jobs.fenced_writer import MAX_ROWS_PER_WRITE
 from jaypier.jobs.model import WorkerEntry
 from jaypier.jobs.progress import record_progress, without_checkpoints
-from jaypier.jobs.rows import PENDING_KEY, cancel_key, job_key, progress_key, worker_key
+from jaypier.jobs.rows import (
+    PENDING_KEY,
+    JobTable,
+    cancel_key,
+    job_key,
+    progress_key,
+    worker_key,
+)
 from jaypier.jobs.state import JobState, Run
-from jaypier.platform import Put
+from jaypier.platform import PlatformUnavailable, Put
 
 if TYPE_CHECKING:
     from jaypier.jobs.leader import Leader
@@ -110,6 +117,7 @@
         if self.leader.cluster_state.dirty_jobs:
             self.write_requested.set()
         await self.delete_expired_jobs()
+        await self.delete_refusals()
 
     def collect_changed_jobs(self) -> tuple[list[JobState], list[Put]]:
         """Take as many changed jobs as fit one write; return them and their rows."""
@@ -213,6 +221,24 @@
             del saved[worker_id]
         return saved, puts, deletes
 
+    async def delete_refusals(self) -> None:
+        """Delete one row of a refusal whose retention time is over.
+
+        A request that arrived before the refusal cannot be in progress any more by then.
+        """
+        leader = self.leader
+        cutoff = leader.clock.now() - leader.settings.status_seconds - RETENTION_MARGIN_SECONDS
+        expired = ((each, at) for each, at in leader.refusals.items() if at[1] < cutoff)
+        job_id, (version, _) = next(expired, ("", (0, 0.0)))
+        if not job_id:
+            return
+        try:
+            await JobTable(leader.table).forget_refusal(job_id, version)
+        except PlatformUnavailable as error:
+            log.debug("refusal not deleted", job=job_id, reason=str(error))
+            return
+        leader.refusals.pop(job_id, None)
+
     async def delete_expired_jobs(self) -> None:
         """Delete the rows of jobs whose retention time is over; each job has up to three rows."""
         leader = self.leader
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -1,10 +1,14 @@
 """Rows of jobs in the platform's store.
 
-``jobs/ID`` is an accepted job and ``jobs/ID-cancel`` a caller's request to cancel it; both are
-written once, by the VM that received the caller's request. Only the leader writes ``progress/ID``,
-``queues/pending`` and ``workers/ID``, the entry of a worker that leaders have used.
+``jobs/ID`` is an accepted job, or the refusal of one, and ``jobs/ID-cancel`` a caller's request to
+cancel it; they are written by the VM that received the caller's request. An accepted job is
+written once. A refusal may be replaced, by a job or another refusal. Only the leader writes
+``progress/ID``, ``queues/pending`` and ``workers/ID``, the entry of a worker that leaders have
+used.
 """
 
+import contextlib
+import math
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
@@ -15,7 +19,14 @@
 from jaypier.jobs.model import Job, WorkerEntry
 from jaypier.jobs.progress import JobProgress, restore_job
 from jaypier.jobs.state import JobState
-from jaypier.platform import Condition, ConditionFailed, Put, Row, Transaction, WatchableTable
+from jaypier.platform import (
+    Condition,
+    ConditionFailed,
+    Put,
+    Row,
+    Transaction,
+    WatchableTable,
+)
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
@@ -24,6 +35,11 @@
 CANCEL_SUFFIX = "-cancel"
 
 
+REFUSAL_MARGIN_SECONDS = 0.5
+"""Time after a refusal from which a new request with the same id counts as a later one: more than
+the VMs' views of the store's clock differ."""
+
+
 def job_key(job_id: str) -> str:
     """Return the key of an accepted job."""
     return f"{JOBS_TABLE}/{job_id}"
@@ -48,17 +64,39 @@
     """A job was not accepted because its encoding exceeds the longest row of the store."""
 
 
+class JobRefused(JaypierError):
+    """A job was refused at another VM while this request for it was being served."""
+
+
+@attrs.frozen
+class Refusal:
+    """Value of the row ``jobs/ID`` of a job that was refused and never runs.
+
+    :param refused_at: time by the store's clock, in seconds.
+    """
+
+    refused_at: float
+
+
+def decode_refusal(value: Any) -> Refusal | None:
+    """Return the refusal that a row of the jobs table contains, ``None`` if it has a job."""
+    is_refusal = isinstance(value, dict) and value.keys() == {"refused_at"}
+    return from_plain(value, Refusal) if is_refusal else None
+
+
 @attrs.frozen
 class JobChanges:
     """Accepted and cancelled jobs in rows of the jobs table.
 
     :param cancelled: ids of the jobs to cancel.
+    :param refusals: refused jobs, as version of the row by id.
     :param version: version of the store up to which the changes are complete.
     """
 
     accepted: list[Job]
     cancelled: list[str]
     version: int
+    refusals: dict[str, int] = attrs.field(factory=dict)
 
 
 def decode_job_rows(rows: list[Row], version: int) -> JobChanges:
@@ -70,9 +108,14 @@
     cancelled = [
         row.name.removesuffix(CANCEL_SUFFIX) for row in present if row.name.endswith(CANCEL_SUFFIX)
     ]
-    jobs = [(row.key, row.value) for row in present if not row.name.endswith(CANCEL_SUFFIX)]
+    refusals = {row.name: row.version for row in present if decode_refusal(row.value) is not None}
+    jobs = [
+        (row.key, row.value)
+        for row in present
+        if not row.name.endswith(CANCEL_SUFFIX) and row.name not in refusals
+    ]
     accepted = [job for key, job in decode_valid(jobs, decode_job) if key == job_key(job.id)]
-    return JobChanges(accepted, cancelled, version)
+    return JobChanges(accepted, cancelled, version, refusals)
 
 
 def decode_job(value: Any) -> Job:
@@ -131,12 +174,16 @@
         self.table = table
         self.on_stored = on_stored
 
-    async def accept(self, job: Job) -> bool:
+    async def accept(self, job: Job, received_at: float = math.inf) -> bool:
         """Store a job, unless a job with its id is stored already.
 
+        An earlier refusal of the same id is replaced.
+
+        :param received_at: time by the store's clock, in seconds, at which the request arrived.
         :returns: whether the stored job is this one or an earlier identical request; ``False``
             when a different job has the id.
         :raises JobTooLarge: when the encoded job exceeds the longest row.
+        :raises JobRefused: when the id was refused after this request had arrived.
         :raises PlatformUnavailable: when the store does not answer.
         """
         key, value = job_key(job.id), to_compact(job)
@@ -145,22 +192,67 @@
             raise JobTooLarge(
                 f"the job takes {size} bytes as it is kept, {limit} at most; split it"
             )
-        transaction = Transaction([Condition(key, 0)], [Put(key, value)])
-        try:
-            version = await self.table.commit(transaction)
-        except ConditionFailed as error:
-            row = error.current_rows.get(key) or await self.table.read(key)
-            return row is not None and decode_job_row(row).is_same_request(job)
+        row: Row | None = None
+        while True:
+            try:
+                version = await self.replace(key, row, value)
+                break
+            except ConditionFailed as error:
+                row = error.current_rows.get(key) or await self.table.read(key)
+            refusal = None if row is None else decode_refusal(row.value)
+            if refusal is None:
+                return row is not None and decode_job_row(row).is_same_request(job)
+            if received_at < refusal.refused_at + REFUSAL_MARGIN_SECONDS:
+                raise JobRefused(f"job {job.id} was refused at {refusal.refused_at}")
         self.on_stored(Row(key, value, version))
         return True
 
+    async def refuse(self, job: Job) -> bool:
+        """Store that a job is refused, unless it has been accepted.
+
+        Requests with its id that are still being served, here or at another VM, then cannot store
+        the job any more.
+
+        :returns: whether it is refused; ``False`` when the same request has been accepted before.
+        :raises PlatformUnavailable: when the store does not answer.
+        """
+        key = job_key(job.id)
+        row: Row | None = None
+        while True:
+            try:
+                await self.replace(key, row, to_compact(Refusal(self.table.store_time())))
+                return True
+            except ConditionFailed as error:
+                row = error.current_rows.get(key) or await self.table.read(key)
+            if row is not None and decode_refusal(row.value) is None:
+                return not decode_job_row(row).is_same_request(job)
+
+    async def replace(self, key: str, row: Row | None, value: Any) -> int:
+        """Write a row if the store still contains ``row``, or none; return the new version.
+
+        :raises ConditionFailed: when the row has changed.
+        """
+        condition = Condition(key, 0 if row is None else row.version)
+        return await self.table.commit(Transaction([condition], [Put(key, value)]))
+
+    async def forget_refusal(self, job_id: str, version: int) -> None:
+        """Delete the row of a refusal unless it has changed since.
+
+        :raises PlatformUnavailable: when the store does not answer.
+        """
+        key = job_key(job_id)
+        with contextlib.suppress(ConditionFailed):
+            await self.table.commit(Transaction([Condition(key, version)], [], [key]))
+
     async def find(self, job_id: str) -> Job | None:
         """Return an accepted job, or ``None`` when it is not stored.
 
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(job_key(job_id))
-        return None if row is None or row.value is None else decode_job_row(row)
+        if row is None or row.value is None or decode_refusal(row.value) is not None:
+            return None
+        return decode_job_row(row)
 
     async def progress(self, job_id: str) -> JobProgress | None:
         """Return the recorded progress of a job, or ``None`` when none is recorded.
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -3,10 +3,12 @@
 import attrs
 import pytest
 
+from jaypier.jobs.election import LEADER_KEY
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
-from jaypier.jobs.rows import JobTable
+from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
 from jaypier.platform import Put, Transaction
+from jaypier.scheduling.overload import OverloadSettings, decode_summary
 
 
 class TestNormalOperation:
@@ -444,3 +446,82 @@
             assert worker.report_count - before <= 10
 
         run_scenario(scenario, workers=1)
+
+
+class TestOverload:
+    def make_refusing(self, harness):
+        """Return the leader after it has begun to summarize overload."""
+        leader = harness.leaders[harness.leader_name]
+        settings = OverloadSettings(refuses=True, begins_at=10.0)
+        leader.settings = attrs.evolve(leader.settings, overload=settings)
+        leader.overload.settings = settings
+        return leader
+
+    def load(self, harness):
+        return decode_summary(harness.store.rows[LEADER_KEY].value.get("load"))
+
+    def test_row_tells_of_an_overload_until_it_is_over(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = self.make_refusing(harness)
+            jobs = [make_job(make_step(accelerators=8, seconds=2.0)) for _ in range(12)]
+            await asyncio.sleep(2.0)
+            assert self.load(harness) is None
+            for job in jobs:
+                harness.cluster.submit(job)
+            await harness.wait_until(lambda: self.load(harness) is not None, 2.0)
+            assert leader.metrics.counters["leader.overloads"] == 1
+            await harness.wait_until(lambda: self.load(harness) is None, 30.0)
+            await harness.wait_status(jobs[-1], JobStatus.COMPLETED, 60.0)
+
+        run_scenario(scenario, workers=1)
+
+    def test_summary_is_gone_after_a_takeover(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            self.make_refusing(harness)
+            for _ in range(12):
+                harness.cluster.submit(make_job(make_step(accelerators=8, seconds=2.0)))
+            await harness.wait_until(lambda: self.load(harness) is not None, 3.0)
+            await harness.kill(harness.leader_name)
+            await harness.wait_until(lambda: harness.leader_name is not None, 5.0)
+            assert self.load(harness) is None
+
+        run_scenario(scenario, workers=1)
+
+    def test_error_in_the_summary_does_not_end_the_leadership(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = self.make_refusing(harness)
+            leader.overload.summarize = None
+            job = make_job()
+            harness.cluster.submit(job)
+            await harness.wait_status(job, JobStatus.COMPLETED, 8)
+            assert leader.metrics.counters["leader.task_failures"] > 0
+            assert harness.leaders[harness.leader_name] is leader
+
+        run_scenario(scenario)
+
+    def test_refused_job_never_runs_and_its_row_is_deleted(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            job = make_job()
+            assert await JobTable(harness.store).refuse(job)
+            await asyncio.sleep(60.0)
+            assert job_key(job.id) in harness.store.rows
+            await harness.wait_until(lambda: job_key(job.id) not in harness.store.rows, 180.0)
+            assert harness.cluster.runs == {}
+
+        run_scenario(scenario)
+
+    def test_job_that_is_accepted_after_a_refusal_runs_once(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            job, table = make_job(), JobTable(harness.store)
+            await table.refuse(job)
+            await asyncio.sleep(1.0)
+            assert await table.accept(job, harness.store.store_time())
+            await harness.wait_status(job, JobStatus.COMPLETED, 8)
+            assert len(harness.cluster.runs) == 1
+
+        run_scenario(scenario)
