--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -4,6 +4,7 @@
 values.
 """
 
+import functools
 from collections.abc import Sequence
 from enum import StrEnum
 
@@ -170,7 +171,12 @@
         """Return the estimated length of its critical path, in seconds."""
         return critical_path(self.steps, [step.estimated_seconds for step in self.steps])
 
-    @property
+    @functools.cached_property
+    def lasts(self) -> bool:
+        """Whether it has long-running tasks."""
+        return any(step.lasts for step in self.steps)
+
+    @functools.cached_property
     def objective_seconds(self) -> float:
         """Time in seconds within which the caller expects the job to complete.
 
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -81,6 +81,8 @@
     :ivar valuation: scores jobs.
     :ivar guarantees: guaranteed accelerators by team.
     :ivar covered: ids of the waiting urgent jobs that their teams' guarantees cover.
+    :ivar expired: ids of the other waiting jobs that can be worth nothing any more.
+    :ivar stop_costs: what callers lose by stops in the current pass.
     :ivar holds: workers held for waiting gangs; other tasks only start there if they are expected
         to end before the gang can start.
     :ivar headroom: workers that are kept free for urgent jobs.
@@ -102,7 +104,9 @@
         self.isolation = Isolation()
         self.guarantees: dict[str, int] = {}
         self.covered: set[str] = set()
+        self.expired: set[str] = set()
         self.reservations: list[Reservation] = []
+        self.stop_costs = StopCosts(self.valuation, restore_seconds, 0.0, 0.0)
 
     # Arrivals
 
@@ -136,6 +140,7 @@
         if not workers:
             return Plan([], [])
         self.valuation.observe_workers(workers)
+        self.stop_costs = StopCosts(self.valuation, self.restore_seconds, now, wall_time)
         self.holds.refresh(workers, now)
         self.headroom.update(workers, now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
@@ -144,7 +149,7 @@
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
             is_non_preemptible = not state.spec.is_preemptible
-            is_expired = self.is_worthless(state, wall_time)
+            is_expired = state.spec.id in self.expired
             if is_expired and contended.contains(state.spec.service, workers):
                 continue
             for step in state.steps:
@@ -176,13 +181,6 @@
                     stops += self.make_room(step, workers, now, wall_time)
         return Plan(starts, stops)
 
-    def is_worthless(self, state: JobState, wall_time: float) -> bool:
-        """Whether a job can be worth nothing any more and no guarantee covers it.
-
-        :param wall_time: Unix time in seconds.
-        """
-        return state.spec.id not in self.covered and self.valuation.is_expired(state, wall_time)
-
     def has_reservation(self, step: StepState) -> bool:
         """Whether capacity is being freed for the step."""
         return any(each.step is step for each in self.reservations)
@@ -248,13 +246,18 @@
                 used[team] += need
                 covered.add(state.spec.id)
         self.covered = covered
+        self.expired = {
+            state.spec.id
+            for state in waiting
+            if state.spec.id not in covered and self.valuation.is_expired(state, wall_time)
+        }
 
         def sort_key(state: JobState) -> tuple:
             job = state.spec
             if job.id in covered:
                 guaranteed = self.guarantees.get(job.team, 0)
                 return (0, guaranteed, job.submitted_at, job.id)
-            group = 2 if self.valuation.is_expired(state, wall_time) else 1
+            group = 2 if job.id in self.expired else 1
             return (group, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
@@ -513,8 +516,8 @@
         free_of = self.free_resources_for(step)
         candidates = self.isolation.permitted(step, self.candidate_workers(step, workers, now))
         groups = group_by_rack(candidates).values() if step.spec.is_rack_local else [candidates]
-        costs = StopCosts(self.valuation, self.restore_seconds, now, wall_time)
-        options = [cheapest_preemption(step, group, free_of, costs.of) for group in groups]
+        cost_of = self.stop_costs.of
+        options = [cheapest_preemption(step, group, free_of, cost_of) for group in groups]
         cheapest = min(
             (option for option in options if option is not None),
             key=lambda option: option.cost,
--- a/src/jaypier/jobs/preemption.py
+++ b/src/jaypier/jobs/preemption.py
@@ -14,7 +14,7 @@
 
 from jaypier.jobs.model import Resources
 from jaypier.jobs.placement import FreeResourcesOf, max_tasks_on
-from jaypier.jobs.state import Run, StepState, Worker
+from jaypier.jobs.state import JobState, Run, StepState, Worker
 from jaypier.jobs.valuation import MIN_ROOM_SECONDS, Valuation, slack_seconds
 from jaypier.scheduling.rooms import room_share, total_room_seconds
 
@@ -171,6 +171,8 @@
 class StopCosts:
     """What the callers of running jobs lose if runs are stopped, within one scheduling pass.
 
+    Costs are cached, as each urgent step of a pass compares the same runs.
+
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param now: time on the local clock, in seconds.
     :param wall_time: Unix time in seconds.
@@ -184,6 +186,7 @@
         self.now = now
         self.wall_time = wall_time
         self.costs: dict[Run | StepState, float] = {}
+        self.jobs: dict[JobState, tuple[float, float, Resources]] = {}
 
     def of(self, run: Run) -> float:
         """Return the cost of stopping a run, with its whole gang.
@@ -201,13 +204,15 @@
         """Return the value of the work that is lost and of a time objective that is missed."""
         step, job = run.step, run.step.job
         runs = step.runs if step.spec.is_gang else [run]
-        capacity = self.valuation.typical_capacity(job)
+        if job not in self.jobs:
+            capacity = self.valuation.typical_capacity(job)
+            total = max(MIN_ROOM_SECONDS, total_room_seconds(job, capacity))
+            self.jobs[job] = (self.valuation.value_in_time(job), total, capacity)
+        value, total, capacity = self.jobs[job]
         lost_seconds = sum(self.lost_seconds(each) for each in runs)
         room = lost_seconds * room_share(step.spec.reserved, capacity)
         share, later_share = self.shares(run)
-        value = self.valuation.value_in_time(job)
-        work_lost = share * room / max(MIN_ROOM_SECONDS, total_room_seconds(job, capacity))
-        return value * (work_lost + share - later_share)
+        return value * (share * room / total + share - later_share)
 
     def lost_seconds(self, run: Run) -> float:
         """Return the seconds of work that a stopped run has to do again."""
--- a/src/jaypier/jobs/valuation.py
+++ b/src/jaypier/jobs/valuation.py
@@ -104,10 +104,12 @@
 
         :param wall_time: Unix time in seconds.
         """
-        value = self.value_now(state, wall_time)
+        chain = state.remaining_critical_path_seconds()
+        value = self.value_in_time(state) * self.share_at(state, wall_time + chain)
         if state.has_started and not any(state.runs):
             value *= INTERRUPTED_FACTOR
-        urgency = self.urgency(state, wall_time)
+        age = wall_time - state.earliest_start_at
+        urgency = urgency_of(state.spec.objective_seconds - age - chain, chain)
         room = remaining_room_seconds(state, self.typical_capacity(state))
         return value * urgency / max(MIN_ROOM_SECONDS, room)
 
@@ -149,7 +151,7 @@
 
         :param completed_at: Unix time in seconds.
         """
-        if any(step.lasts for step in state.spec.steps):
+        if state.spec.lasts:
             return 1.0
         objective = state.spec.objective_seconds
         elapsed = completed_at - state.earliest_start_at
@@ -163,7 +165,7 @@
 
         :param wall_time: Unix time in seconds.
         """
-        if any(step.lasts for step in state.spec.steps):
+        if state.spec.lasts:
             return False
         newest = state.spec.earliest_start_at(max(state.occurrences, default=0))
         elapsed = wall_time - newest + state.remaining_critical_path_seconds()
@@ -176,9 +178,14 @@
 
         :param wall_time: Unix time in seconds.
         """
-        critical_path = max(MIN_CRITICAL_PATH_SECONDS, state.remaining_critical_path_seconds())
-        relative_slack = slack_seconds(state, wall_time) / (PATIENCE_MULTIPLE * critical_path)
-        return 1.0 if relative_slack < 0 else max(MIN_URGENCY, 1.0 - relative_slack)
+        chain = state.remaining_critical_path_seconds()
+        return urgency_of(slack_seconds(state, wall_time), chain)
+
+
+def urgency_of(slack: float, critical_path: float) -> float:
+    """Return the urgency of a job by its slack and its remaining critical path, in seconds."""
+    patience = PATIENCE_MULTIPLE * max(MIN_CRITICAL_PATH_SECONDS, critical_path)
+    return 1.0 if slack < 0 else max(MIN_URGENCY, 1.0 - slack / patience)
 
 
 def slack_seconds(state: JobState, wall_time: float) -> float:
