--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -14,7 +14,7 @@
 from jaypier.entry.configuration import Configuration, Route
 from jaypier.entry.watcher import ConfigurationWatcher
 from jaypier.jobs.model import Job, JobStatus
-from jaypier.jobs.rows import JobTable, JobTooLarge
+from jaypier.jobs.rows import JobRefused, JobTable, JobTooLarge
 from jaypier.platform import PlatformRefused, PlatformUnavailable
 from jaypier.platform.callers import (
     BadRequest,
@@ -26,6 +26,7 @@
     pending_response,
     state_response,
 )
+from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
@@ -80,6 +81,8 @@
     :param revocation_seconds: time after which a removed key must no longer be accepted.
     :param wall_clock: returns Unix time in seconds.
     :param is_isolated: returns whether this VM reaches neither the store nor other VMs.
+    :param decide_admission: returns whether a job is refused because of an overload, by the job and
+        the guaranteed accelerators of its team.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         rng: random.Random,
         wall_clock: Callable[[], float] = time.time,
         is_isolated: Callable[[], bool] = lambda: False,
+        decide_admission: Callable[[Job, int], Admission] = lambda job, guaranteed: ACCEPTED,
     ) -> None:
         self.watcher = watcher
         self.jobs = jobs
@@ -101,6 +105,7 @@
         self.rng = rng
         self.wall_clock = wall_clock
         self.is_isolated = is_isolated
+        self.decide_admission = decide_admission
         self.pending: dict[str, int] = {}
         self.pending_read_at = float("-inf")
 
@@ -171,7 +176,12 @@
         return error_response(405, f"{method} is not supported; use GET, POST or DELETE")
 
     async def submit(self, call: Call) -> HttpResponse:
-        """Store a job; a resubmission of the same request succeeds as well."""
+        """Store a job, or refuse it in an overload.
+
+        A resubmission of a request that has been accepted succeeds as well. A refusal is stored, so
+        that no other request with the id that is still being served stores the job after it.
+        """
+        received_at = self.jobs.table.store_time()
         route = call.route
         try:
             request = decode_job(call.request.body)
@@ -196,20 +206,41 @@
             interval_seconds=request.interval_seconds,
         )
 
-        limit = self.watcher.configuration.limit_of(job.team)
-        excess = explain_excess(job.team, job.steps, limit)
-
         async def accept(call: Call) -> HttpResponse:
-            if excess:
-                return await self.refuse_excess(job, excess)
             try:
-                if await self.jobs.accept(job):
+                if await self.jobs.accept(job, received_at):
                     return accepted_response()
             except JobTooLarge as error:
                 return error_response(413, str(error))
+            except JobRefused as error:
+                return error_response(429, str(error), self.retry_after)
             return error_response(409, f"another job has the identity {job.id}")
 
-        response = await self.run_with_retries(call, accept)
+        excess = explain_excess(job.team, job.steps, self.watcher.configuration.limit_of(job.team))
+        admission = (
+            Admission(True, excess)
+            if excess
+            else self.decide_admission(job, self.guaranteed_accelerators(call.team))
+        )
+
+        async def refuse(call: Call) -> HttpResponse:
+            accepted = await self.jobs.refuse(job)
+            if accepted is not None:
+                return self.respond_to_resubmission(job, accepted)
+            self.metrics.count("front.over_team_limit" if excess else "front.overload_refusals")
+            log.info(
+                "job refused, team limit" if excess else "job refused, overload",
+                job=job.id,
+                queue=job.queue,
+                reason=admission.reason,
+                need=admission.room_seconds,
+                wait=admission.wait,
+                age=admission.age,
+                retry_after=admission.retry_after,
+            )
+            return error_response(429, f"not run: {admission.reason}", admission.retry_after)
+
+        response = await self.run_with_retries(call, refuse if admission.is_refused else accept)
         log.info(
             "job submitted",
             job=job.id,
@@ -219,21 +250,17 @@
         )
         return response
 
-    async def refuse_excess(self, job: Job, excess: str) -> HttpResponse:
-        """Refuse a job that can never run within its team's limit, unless it is stored already.
-
-        It may have been accepted before the limit was lowered.
-
-        :param excess: what exceeds the limit.
-        """
-        stored = await self.jobs.find(job.id)
-        if stored is None:
-            self.metrics.count("front.over_team_limit")
-            return error_response(429, f"not run: {excess}")
-        if stored.is_same_request(job):
+    def respond_to_resubmission(self, job: Job, accepted: Job) -> HttpResponse:
+        """Return the response to a job whose id belongs to an accepted one."""
+        if accepted.is_same_request(job):
             return accepted_response()
         return error_response(409, f"another job has the identity {job.id}")
 
+    def guaranteed_accelerators(self, team_name: str) -> int:
+        """Return the number of accelerators that a team is guaranteed."""
+        teams = self.watcher.configuration.teams
+        return next((each.guaranteed_accelerators for each in teams if each.name == team_name), 0)
+
     @property
     def retry_after(self) -> int:
         """Seconds after which a request that cannot be served now may be sent again."""
