--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -248,16 +248,15 @@
     async def restore_deregistered_workers(self) -> None:
         """Add the deregistered workers that earlier leaders used.
 
-        Such a worker may still have active runs: its entry also expires while it cannot reach the
-        store.
+        Such a worker may still have active runs, also if it was draining: its entry also expires
+        while it cannot reach the store, and a drain may take long or be withdrawn.
         """
         changes = await self.table.snapshot(RECORDED_WORKERS_TABLE)
         now = self.clock.now()
         values = ((row.key, row.value) for row in changes.rows)
         for _, entry in decode_valid(values, decode_worker_entry):
             self.progress_writer.saved_workers[entry.id] = SavedWorker.from_entry(entry)
-            # A draining worker that has been deregistered has left with all its runs.
-            if entry.is_ready and entry.id not in self.cluster_state.workers:
+            if entry.id not in self.cluster_state.workers:
                 self.apply_entry(entry, now, changes.version)
                 self.cluster_state.deregister_worker(entry.id, now)
 
