A lost task of an unrepeatable job is not started again while its other tasks run

Cause: an earlier fault. After a takeover, jobs that must not start twice were ended only if they had no run at all. Of a job with two tasks one was lost with its crashed worker; the other still ran, so the job stayed and the lost task was started again. Which tasks an earlier leader started is not recorded, so a task that could start now may have run.

Change: such a job ends as unknown when the workers are reconciled. A job of which only a part had been placed ends as well: true, but pessimistic. The new test fails without the change.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -357,12 +357,16 @@
             self.end_job(state, JobStatus.UNKNOWN)
 
     def end_lost_unrepeatable_jobs(self) -> None:
-        """End jobs that are not repeatable, were started by an earlier leader and have no run.
+        """End jobs that are not repeatable and of which an earlier leader's run may be lost.
 
-        To be called once every worker has been reconciled.
+        The store records that such a job was started, but not which of its tasks, so each task
+        that could be started now may have run before. To be called once every worker has been
+        reconciled.
         """
         for state in self.jobs.values():
-            if state.is_recovered and state.has_started and not any(state.runs):
+            can_start = any(step.waiting and step.is_startable for step in state.steps)
+            may_have_lost = can_start or not any(state.runs)
+            if state.is_recovered and state.has_started and may_have_lost:
                 self.end_unrepeatable_job(state)
 
     def end_run(self, run: Run) -> None:
--- a/src/jaypier/jobs/tests/test_single_start.py
+++ b/src/jaypier/jobs/tests/test_single_start.py
@@ -1,5 +1,7 @@
 """Jobs that are not repeatable, and jobs that are not preemptible."""
 
+import asyncio
+
 import attrs
 
 from jaypier.jobs.model import JobStatus
@@ -69,6 +71,23 @@
 
         run_scenario(scenario)
 
+    def test_lost_task_of_a_job_that_still_runs_is_not_started_again(self):
+        """Regression (fuzz seed 1004): one of two tasks is lost with its worker at a takeover."""
+
+        async def scenario(harness):
+            job = make_job(make_step(count=2, accelerators=8, seconds=8.0), **SINGLE_START)
+            harness.cluster.submit(job)
+            await harness.wait_until(lambda: count_starts(harness, job) == 2, 8)
+            await harness.kill(harness.leader_name)
+            worker = [each for each in harness.cluster.workers.values() if each.active][0]
+            worker.crash()
+            worker.restart()
+            await harness.wait_status(job, JobStatus.UNKNOWN, 20)
+            await asyncio.sleep(10.0)
+            assert count_starts(harness, job) == 2
+
+        run_scenario(scenario)
+
     def test_start_waits_until_recorded_in_store(self):
         async def scenario(harness):
             job, other = make_job(**SINGLE_START), make_job()
