--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -257,7 +257,8 @@
         now = self.clock.now()
         try:
             jobs = [each for each in self.cluster_state.jobs.values() if not each.status.is_final]
-            workers = self.planner.usable_workers(now)
+            # Workers that are out of use for a while may hold a job later.
+            workers = list(self.cluster_state.workers.values())
             summary = self.overload.summarize(jobs, workers, now, self.wall_clock())
         except Exception as error:
             self.metrics.count("leader.task_failures")
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -489,6 +489,25 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_worker_that_is_unreachable_still_counts_by_its_capacity(self):
+        """A job that only such a worker can hold is not refused for good."""
+
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = self.make_refusing(harness)
+            await harness.wait_until(lambda: leader.has_reconciled, 5)
+            first, second = harness.cluster.workers.values()
+            second.change_capacity(Resources(1000, 1000, 8))
+            await asyncio.sleep(2.5)
+            harness.cluster.cut_links |= {(name, first.entry.id) for name in ("vm-a", "vm-b")}
+            for _ in range(12):
+                harness.cluster.submit(make_job(make_step(accelerators=8, seconds=2.0)))
+            await harness.wait_until(lambda: self.load(harness) is not None, 5.0)
+            capacities = self.load(harness).pools["desk"].capacities
+            assert set(capacities) == {(64000, 131072, 8), (1000, 1000, 8)}
+
+        run_scenario(scenario, workers=2)
+
     def test_error_in_the_summary_does_not_end_the_leadership(self):
         async def scenario(harness):
             await harness.wait_until(lambda: harness.leader_name is not None, 5)
--- a/src/jaypier/scheduling/overload.py
+++ b/src/jaypier/scheduling/overload.py
@@ -15,7 +15,7 @@
 from jaypier.core.codec import DecodeError, from_plain, to_compact
 from jaypier.jobs.model import URGENT_PRIORITY, Job, Resources
 from jaypier.jobs.state import JobState, Worker
-from jaypier.jobs.valuation import Valuation, ValueSettings
+from jaypier.jobs.valuation import MIN_ROOM_SECONDS, Valuation, ValueSettings
 from jaypier.scheduling.rooms import remaining_room_seconds, room_share
 
 MAX_SUMMARY_AGE_SECONDS = 2.0
@@ -31,8 +31,8 @@
 """Largest number of different capacities of a pool's workers in a summary."""
 
 CLEARLY_AHEAD_FACTOR = 2.0
-"""Factor by which the density of work that counts as ahead exceeds that of a new job: the order
-also depends on slack and on the size of other jobs in the queue."""
+"""Factor by which the score of work that counts as ahead exceeds that of a new job of mean size:
+the job may be larger, and so worth more."""
 
 ESTIMATE_MARGIN = 1.5
 """Factor by which expected waits may be too long, as estimates of durations are rough."""
@@ -68,8 +68,8 @@
 class PoolLoad:
     """What is ahead of new jobs of one service.
 
-    :param waits: steps of the wait curve: work of this density or more takes the workers this many
-        seconds; densities decrease.
+    :param waits: steps of the wait curve: work of this score or more takes the workers this many
+        seconds; scores decrease.
     :param capacities: different capacities of the workers, the most frequent first, as processors
         in thousandths, memory in MB and accelerators. Empty if there are too many.
     """
@@ -129,10 +129,10 @@
 ACCEPTED = Admission(False)
 
 
-def density(priority: int, room_seconds: float, settings: ValueSettings) -> float:
-    """Return the value of a job of mean size for each worker-second of room that it needs."""
+def mean_score(priority: int, room_seconds: float, settings: ValueSettings) -> float:
+    """Return the score of a job that needs some room, is of mean size and cannot wait."""
     weights = settings.priority_weights
-    return weights[min(priority, len(weights) - 1)] / max(0.01, room_seconds)
+    return weights[min(priority, len(weights) - 1)] / max(MIN_ROOM_SECONDS, room_seconds)
 
 
 class OverloadDetector:
@@ -152,7 +152,7 @@
         """Return the load of the overloaded pools, ``None`` if there are none.
 
         :param jobs: jobs that have not ended.
-        :param workers: workers that accept tasks.
+        :param workers: all workers.
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
@@ -168,7 +168,7 @@
                 queued[state.spec.service].append(state)
         loads = {}
         for service, pool in pools.items():
-            load = summarize_pool(queued[service], pool, now, self.valuation)
+            load = summarize_pool(queued[service], pool, now, wall_time, self.valuation)
             wait = load.waits[-1][1] if load.waits else 0.0
             begins_at = self.settings.begins_at
             threshold = END_FACTOR * begins_at if service in self.overloaded else begins_at
@@ -179,12 +179,17 @@
 
 
 def summarize_pool(
-    queued: list[JobState], workers: list[Worker], now: float, valuation: Valuation
+    queued: list[JobState],
+    workers: list[Worker],
+    now: float,
+    wall_time: float,
+    valuation: Valuation,
 ) -> PoolLoad:
     """Return the wait curve of a pool.
 
     :param queued: jobs without a run that can still be worth something.
     :param now: time on the local clock, in seconds.
+    :param wall_time: Unix time in seconds.
     """
     counts: dict[Resources, int] = {}
     for worker in workers:
@@ -204,16 +209,14 @@
         if run.step.spec.lasts
     )
     available = max(0.1, len(workers) - lasting)
-    needs = [(remaining_room_seconds(state, typical), state.spec.priority) for state in queued]
-    ahead = sorted(
-        ((density(priority, need, valuation.settings), need) for need, priority in needs),
-        reverse=True,
-    )
+    needs = [remaining_room_seconds(state, typical) for state in queued]
+    scores = [valuation.score(state, wall_time) for state in queued]
+    ahead = sorted(zip(scores, needs, strict=True), reverse=True)
     curve, total = [], running
     for each, need in ahead:
         total += need
         curve.append((float(f"{each:.3g}"), round(total / available, 1)))
-    # Steps at equal parts of the curve: each density is that of the last work it includes.
+    # Steps at equal parts of the curve: each score is that of the last work it includes.
     size = math.ceil(len(curve) / MAX_STEPS) if curve else 1
     steps = curve[size - 1 :: size]
     if curve and steps[-1] != curve[-1]:
@@ -258,7 +261,7 @@
         step.count * step.estimated_seconds * room_share(step.reserved, load.typical_capacity)
         for step in job.steps
     )
-    ahead = CLEARLY_AHEAD_FACTOR * density(job.priority, room, settings)
+    ahead = CLEARLY_AHEAD_FACTOR * mean_score(job.priority, room, settings)
     wait = max((seconds for each, seconds in load.waits if each >= ahead), default=0.0)
     certain_wait = wait / ESTIMATE_MARGIN
     chain = job.critical_path_seconds() / ESTIMATE_MARGIN
--- a/src/jaypier/scheduling/tests/test_overload.py
+++ b/src/jaypier/scheduling/tests/test_overload.py
@@ -107,7 +107,7 @@
         assert not decide(make_short_job(), overload((100.0, 15.0))).is_refused
 
     def test_work_that_may_come_later_is_not_ahead(self):
-        # The density of the job is 3 for 2 s of a whole worker.
+        # The job's value is 3 for 2 s of a whole worker; work of twice that score is ahead.
         assert not decide(make_short_job(), overload((2.9, 60.0))).is_refused
         assert decide(make_short_job(), overload((3.0, 60.0))).is_refused
 
@@ -166,7 +166,7 @@
 
     def submit(self, played) -> None:
         jobs = [each for each in self.cluster_state.jobs.values() if not each.status.is_final]
-        workers = self.planner.usable_workers(self.now)
+        workers = list(self.cluster_state.workers.values())
         summary = self.detector.summarize(jobs, workers, self.now, self.now)
         guaranteed = self.planner.guarantees[played.job.team]
         if decide_admission(
