Team shares: like jobs of teams that got less for what they ask for come first

Cause: under overload nothing compared how well teams are served, and one team that sends many times its usual delayed the jobs of all others.

Change: TeamShares compares the service of each team, in the resource of which it uses most and while work waits, with what it asks for within its share: its weight in jobs a second, an equal part without one. A factor of 0.5 to 2 on the scores follows from it; guaranteed urgent jobs stay first, and without contention nothing changes.

--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -229,6 +229,7 @@
         stored = await self.jobs.find(job.id)
         if stored is None:
             self.metrics.count("front.over_team_limit")
+            log.info("job refused, over team limit", job=job.id, team=job.team, reason=excess)
             return error_response(429, f"not run: {excess}")
         if stored.is_same_request(job):
             return accepted_response()
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -19,6 +19,7 @@
 from jaypier.jobs.fenced_writer import FencedWriter
 from jaypier.jobs.leader import Leader, LeaderSettings
 from jaypier.jobs.rows import JobTable
+from jaypier.jobs.team_log import describe_teams
 from jaypier.notes.cache import EntityCache
 from jaypier.notes.service import NoteService
 from jaypier.notes.source import NoteOperatorSource
@@ -154,6 +155,7 @@
                 }
                 for worker in leader.cluster_state.workers.values()
             }
+            state["teams"] = describe_teams(leader.planner)
         return state
 
     def describe(self) -> DaemonState:
@@ -259,6 +261,9 @@
                     }
                     limits = {team.name: team.limit for team in configuration.teams}
                     team_limits.configure(limits, self.clock.now())
+                    leader.planner.team_shares.weights = {
+                        team.name: team.weight for team in configuration.teams if team.weight > 0
+                    }
                 leader.scheduling_requested.set()
             await asyncio.sleep(0.1)
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -30,6 +30,7 @@
 from jaypier.jobs.session import WorkerSession
 from jaypier.jobs.state import Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
+from jaypier.jobs.team_log import TeamLog
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.worker_interface import (
     WorkerDirectory,
@@ -144,6 +145,7 @@
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
+        self.team_log = TeamLog()
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
@@ -439,6 +441,7 @@
                 plan = self.planner.plan(started_at, self.wall_clock())
                 pass_seconds = self.clock.now() - started_at
                 self.metrics.record("leader.plan", pass_seconds)
+                self.team_log.observe(self.planner, self.metrics, started_at)
                 self.stop_runs(plan.stops, "preempted")
                 for run in plan.starts:
                     self.spawn(self.start_run(run), f"start {run.task}")
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -31,6 +31,7 @@
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
 from jaypier.scheduling.team_limits import TeamLimits
+from jaypier.scheduling.team_shares import TeamShares
 
 PROVEN_SECONDS = 3.0
 """Age of the last success on a worker up to which it is preferred for work that has failed."""
@@ -85,6 +86,7 @@
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
+    :ivar team_shares: compares how well teams are served.
     :ivar guaranteed_jobs: ids of the waiting urgent jobs within their team's guarantee.
     """
 
@@ -103,6 +105,7 @@
         self.guarantees: dict[str, int] = {}
         self.reservations: list[Reservation] = []
         self.team_limits = TeamLimits()
+        self.team_shares = TeamShares()
         self.guaranteed_jobs: set[str] = set()
 
     # Arrivals
@@ -175,6 +178,7 @@
                 if may_preempt and preempting_steps < MAX_PREEMPTING_STEPS:
                     preempting_steps += 1
                     stops += self.make_room(step, workers, now, wall_time)
+        self.team_shares.update(self.cluster_state, now, self.team_limits.blocked.keys())
         return Plan(starts, stops)
 
     def has_reservation(self, step: StepState) -> bool:
@@ -248,7 +252,8 @@
             if job.id in covered:
                 guaranteed = self.guarantees.get(job.team, 0)
                 return (0, guaranteed, job.submitted_at, job.id)
-            return (1, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
+            score = self.valuation.score(state, wall_time) * self.team_shares.factor(job.team)
+            return (1, -score, job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
 
--- a/src/jaypier/jobs/tests/load_player.py
+++ b/src/jaypier/jobs/tests/load_player.py
@@ -93,6 +93,7 @@
     """A load and the workers that it meets.
 
     :param seconds: time during which jobs arrive.
+    :param team_sizes: share of the jobs of each team; without, all teams send as much.
     """
 
     kinds: tuple[JobKind, ...]
@@ -102,6 +103,7 @@
     seconds: float
     teams: int = 4
     guaranteed: int = 16
+    team_sizes: tuple[float, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -140,6 +142,7 @@
     :param wasted: core-seconds of stopped runs that no checkpoint kept, as a share of all work.
     :param stops: number of runs that were stopped.
     :param windows: mean worth of the two worst windows of a sixth of the time each.
+    :param by_team: value that was earned for each team, as a share of the value of all its jobs.
     """
 
     worth: float
@@ -148,6 +151,7 @@
     wasted: float
     stops: int
     windows: float
+    by_team: dict[str, float]
 
 
 def draw_jobs(load: Load, seed: int) -> list[PlayedJob]:
@@ -178,6 +182,13 @@
     return rng.lognormvariate(math.log(mean) - spread * spread / 2, spread)
 
 
+def draw_team(load: Load, rng: random.Random) -> int:
+    """Return the number of the team of a job."""
+    if load.team_sizes:
+        return rng.choices(range(load.teams), load.team_sizes)[0]
+    return rng.randrange(load.teams)
+
+
 def draw_job(load: Load, kind: JobKind, rng: random.Random, now: float, number: int) -> PlayedJob:
     """Return one job of a kind."""
     count = max(1, min(kind.max_width, round(draw_lognormal(rng, kind.width, 0.8))))
@@ -196,7 +207,7 @@
         id=f"{number:016x}",
         queue=kind.name,
         service="desk",
-        team=f"team-{rng.randrange(load.teams)}",
+        team=f"team-{draw_team(load, rng)}",
         priority=kind.priority,
         max_attempts=3,
         slack_factor=kind.slack_factor,
@@ -386,6 +397,7 @@
         owed: dict[str, float] = defaultdict(float)
         earned: dict[str, float] = defaultdict(float)
         windows: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        teams: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
         on_time: dict[str, list[bool]] = defaultdict(list)
         for each in self.jobs.values():
             kind = each.kind
@@ -403,6 +415,9 @@
             window = windows[int(6 * each.arrives_at / self.load.seconds)]
             window[0] += share * value
             window[1] += value
+            team = teams[each.job.team]
+            team[0] += share * value
+            team[1] += value
         total = sum(each.core_seconds() for each in self.jobs.values())
         worst = sorted(got / wanted for got, wanted in windows.values())[:2]
         return Outcome(
@@ -412,6 +427,7 @@
             wasted=self.wasted / total,
             stops=self.stops,
             windows=mean_of(worst),
+            by_team={name: got / wanted for name, (got, wanted) in teams.items()},
         )
 
 
--- /dev/null
+++ b/src/jaypier/scheduling/team_shares.py
@@ -0,0 +1,213 @@
+"""Fair service between teams while there is too little room for all of them.
+
+Answers overload in which the jobs of some teams wait much longer than those of others for the size
+of their demand, or one team sends many times its usual: what it sends beyond its rate gives way to
+what others send within theirs. Nothing changes while nothing waits, and idle capacity is used by
+any team.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping, Sequence
+
+import attrs
+
+from jaypier.jobs.cluster_state import ClusterState
+from jaypier.jobs.model import Resources
+from jaypier.jobs.state import JobState
+
+WINDOW_SECONDS = 30.0
+"""Time over which service and demand are averaged: the time within which a job that ends late still
+has a value to its caller."""
+
+MIN_FACTOR = 0.5
+MAX_FACTOR = 2.0
+"""Bounds of the factor on the scores of a team's jobs: only jobs of like value change places."""
+
+PRIOR_SHARE = 0.25
+"""Demand that each team is assumed to have, served as the average, as a share of the mean demand of
+a team. One job of a small team then does not count as a team that is not served at all."""
+
+
+MIN_USE = 1e-4
+"""Service, and number of arrivals, below which a team is forgotten: a long time without any."""
+
+
+@attrs.define
+class TeamUse:
+    """What a team has got and asked for lately, averaged over ``WINDOW_SECONDS``.
+
+    :param served: use of the resource of which it used most, as a share of all workers times
+        seconds, while jobs waited.
+    :param arrivals: number of jobs that arrived.
+    :param waiting: work that waits, in the same unit as ``served``.
+    """
+
+    served: float = 0.0
+    arrivals: float = 0.0
+    waiting: float = 0.0
+
+    @property
+    def demand(self) -> float:
+        """Work that it has got or is waiting for."""
+        return self.served + self.waiting
+
+    @property
+    def is_negligible(self) -> bool:
+        """Whether nothing that would count is left."""
+        return self.waiting == 0 and max(self.served, self.arrivals) < MIN_USE
+
+
+class TeamShares:
+    """Compares how well teams are served, by the size of what they ask for.
+
+    :ivar weights: jobs a second that a team may send, of each team that has a weight.
+    :ivar uses: recent use by team.
+    :ivar factors: factor on the scores of the jobs of each team for which it is not 1.
+    :ivar is_contended: whether the last pass left work waiting.
+    :ivar updated_at: time on the local clock, in seconds, of the last update.
+    """
+
+    def __init__(self) -> None:
+        self.weights: Mapping[str, float] = {}
+        self.uses: dict[str, TeamUse] = defaultdict(TeamUse)
+        self.factors: dict[str, float] = {}
+        self.is_contended = False
+        self.updated_at = -math.inf
+
+    def factor(self, team: str) -> float:
+        """Return the factor on the scores of a team's jobs."""
+        return self.factors.get(team, 1.0)
+
+    def update(
+        self, cluster_state: ClusterState, now: float, limited: Collection[str] = ()
+    ) -> None:
+        """Update use and factors at the end of a pass; what still waits has found no room.
+
+        :param now: time on the local clock, in seconds.
+        :param limited: teams whose work waits because of their limits, not for want of room.
+        """
+        elapsed = now - self.updated_at if self.updated_at > -math.inf else 0.0
+        total = sum((each.entry.capacity for each in cluster_state.workers.values()), Resources())
+        jobs = list(cluster_state.jobs.values())
+        self.age(elapsed)
+        for state in jobs:
+            if self.updated_at < state.added_at <= now and not state.is_recovered:
+                self.uses[state.spec.team].arrivals += 1
+        if self.is_contended:
+            self.observe_service(cluster_state, total, elapsed)
+        is_reconciled = not cluster_state.unreconciled_workers
+        self.observe_waiting(
+            [
+                state
+                for state in jobs
+                if not state.status.is_final
+                and state.not_before <= now
+                and now - state.added_at <= WINDOW_SECONDS
+                and (is_reconciled or not state.is_recovered)
+                and state.spec.team not in limited
+            ],
+            total,
+        )
+        self.updated_at = now
+        self.is_contended = any(use.waiting > 0 for use in self.uses.values())
+        self.factors = self.compare() if self.is_contended else {}
+
+    def age(self, elapsed: float) -> None:
+        """Let what was observed before count less; forget teams of which nothing is left.
+
+        :param elapsed: time since then, in seconds.
+        """
+        kept = math.exp(-elapsed / WINDOW_SECONDS)
+        for use in self.uses.values():
+            use.served *= kept
+            use.arrivals *= kept
+        for team in [team for team, use in self.uses.items() if use.is_negligible]:
+            del self.uses[team]
+
+    def observe_service(
+        self, cluster_state: ClusterState, total: Resources, elapsed: float
+    ) -> None:
+        """Add what the teams' runs have used since the last update."""
+        held: dict[str, Resources] = defaultdict(Resources)
+        for worker in cluster_state.workers.values():
+            for run in worker.runs.values():
+                team = run.step.job.spec.team
+                held[team] = held[team] + run.step.spec.demand
+        for team, amount in held.items():
+            self.uses[team].served += elapsed * dominant_share(amount, total)
+
+    def observe_waiting(self, jobs: Iterable[JobState], total: Resources) -> None:
+        """Add up the work of jobs that waits."""
+        for use in self.uses.values():
+            use.waiting = 0.0
+        for state in jobs:
+            self.uses[state.spec.team].waiting += sum(
+                len(step.waiting) * step.expected_seconds * dominant_share(step.spec.demand, total)
+                for step in state.steps
+                if step.is_startable and not step.spec.lasts
+            )
+
+    def owed_share(self, team: str, equal_demand: float) -> float:
+        """Return the share of what a team asks for that lies within its share of the room.
+
+        That is what it sends within its rate if it has a weight, and otherwise an equal part of
+        what all teams ask for.
+
+        :param equal_demand: that part.
+        """
+        use = self.uses[team]
+        if team in self.weights:
+            rate = use.arrivals / WINDOW_SECONDS
+            return min(1.0, self.weights[team] / rate) if rate > 0 else 1.0
+        return min(1.0, equal_demand / use.demand)
+
+    def compare(self) -> dict[str, float]:
+        """Return the factor of each team, by how well it is served compared with all of them.
+
+        A team that sends beyond its share counts as well served by as much.
+        """
+        demands = {team: use.demand for team, use in self.uses.items() if use.demand > 0}
+        if len(demands) < 2:
+            return {}
+        equal_demand = sum(demands.values()) / len(demands)
+        owed = {
+            team: self.owed_share(team, equal_demand) * demand for team, demand in demands.items()
+        }
+        average = sum(self.uses[team].served for team in owed) / sum(owed.values())
+        prior = PRIOR_SHARE * sum(owed.values()) / len(owed)
+        if average <= 0:
+            return {}
+        ratios = {
+            team: average * (amount + prior) / (self.uses[team].served + prior * average)
+            for team, amount in owed.items()
+        }
+        return {team: min(MAX_FACTOR, max(MIN_FACTOR, ratio)) for team, ratio in ratios.items()}
+
+    def served_shares(self) -> dict[str, float]:
+        """Return the share of each team in what was used lately while jobs waited."""
+        total = sum(use.served for use in self.uses.values())
+        return {team: use.served / total for team, use in self.uses.items() if use.served > 0}
+
+    def to_record(self) -> dict[str, list[float]]:
+        """Return what is known of the teams' use as plain JSON values."""
+        return {
+            team: [round(use.served, 4), round(use.arrivals, 2)] for team, use in self.uses.items()
+        }
+
+    def restore(self, record: Mapping[str, Sequence[float]]) -> None:
+        """Take over what an earlier leader has recorded.
+
+        :raises ValueError: if it is not a record.
+        :raises TypeError: the same.
+        """
+        restored = {}
+        for team, (served, arrivals) in record.items():
+            restored[team] = TeamUse(max(0.0, float(served)), max(0.0, float(arrivals)))
+        self.uses = defaultdict(TeamUse, restored)
+
+
+def dominant_share(amount: Resources, total: Resources) -> float:
+    """Return the share of a total that an amount takes of the resource of which it takes most."""
+    pairs = zip(attrs.astuple(amount), attrs.astuple(total), strict=True)
+    return max((used / whole for used, whole in pairs if whole > 0), default=0.0)
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -8,8 +8,10 @@
 import msgspec
 import pytest
 
-from jaypier.jobs.model import RunOutcome
+from jaypier.jobs.model import Resources, RunOutcome
+from standins.cluster import LIMIT_PROPAGATION_SECONDS
 from standins.deployment import ConfigurationSource, Deployment, send_request
+from standins.protocol import encode_configuration
 from standins.proxy import ProxyMode
 
 VMS = 3
@@ -82,6 +84,30 @@
         run_scenario(scenario, tmp_path)
 
 
+class TestTeamLimits:
+    def test_configured_limit_holds_for_starts_and_submissions(self, tmp_path):
+        async def scenario(deployment):
+            deployment.cluster.change_team_limits({"clinic": Resources(0, 0, 4)})
+            value = encode_configuration(2, {"clinic": ["k1"]})
+            value["Tenants"][0]["MaxValue"] = {"Gpu": 4}
+            deployment.servers.write_configuration(value)
+            # Longer than a lowered limit may still be used.
+            await asyncio.sleep(LIMIT_PROPAGATION_SECONDS)
+            refused = await deployment.call_as_caller(
+                0, "POST", "/common/00000000000000b1", job_body(3, 0.5, GangScheduled=True)
+            )
+            assert refused.status == 429
+            job = "00000000000000b2"
+            response = await deployment.call_as_caller(
+                1, "POST", f"/common/{job}", job_body(6, 0.5)
+            )
+            assert response.status == 200
+            await wait_for_state(deployment, job, "completed", 15)
+            assert {run.task.job_id for run in deployment.cluster.runs.values()} == {job}
+
+        run_scenario(scenario, tmp_path)
+
+
 def assert_completed_once(deployment: Deployment, tasks: int, gang_size: int) -> None:
     """Check that one run completed each task, and that every other attempt was an incomplete gang.
 
