--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -229,7 +229,7 @@
                 return self.respond_to_resubmission(job, accepted)
             self.metrics.count("front.over_team_limit" if excess else "front.overload_refusals")
             log.info(
-                "job refused, team limit" if excess else "job refused, overload",
+                "job refused, over team limit" if excess else "job refused, overload",
                 job=job.id,
                 queue=job.queue,
                 reason=admission.reason,
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -20,6 +20,7 @@
 from jaypier.jobs.leader import Leader, LeaderSettings
 from jaypier.jobs.model import Job
 from jaypier.jobs.rows import JobTable
+from jaypier.jobs.team_log import describe_teams
 from jaypier.notes.cache import EntityCache
 from jaypier.notes.service import NoteService
 from jaypier.notes.source import NoteOperatorSource
@@ -159,6 +160,7 @@
             }
             state["estimates"] = leader.cluster_state.durations.describe()
             state["known_speeds"] = leader.cluster_state.speeds.to_record()
+            state["teams"] = describe_teams(leader.planner)
         return state
 
     def describe(self) -> DaemonState:
@@ -202,6 +204,7 @@
                     self.settings.bounds.status,
                     self.settings.values,
                     self.settings.overload,
+                    self.settings.teams.share_equally,
                 ),
                 self.clock,
                 time.time,
@@ -281,6 +284,9 @@
                     }
                     limits = {team.name: team.limit for team in configuration.teams}
                     team_limits.configure(limits, self.clock.now())
+                    leader.planner.team_shares.weights = {
+                        team.name: team.weight for team in configuration.teams if team.weight > 0
+                    }
                 leader.scheduling_requested.set()
             await asyncio.sleep(0.1)
 
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -99,6 +99,17 @@
     status: float = attrs.field(default=120.0, validator=_seconds_between(0.0, MAX_BOUND_SECONDS))
 
 
+@attrs.frozen
+class TeamSettings:
+    """How teams share capacity that is contended.
+
+    :param share_equally: whether teams without weights have equal shares. Weights are part of the
+        operators' configuration and count in any case.
+    """
+
+    share_equally: bool = False
+
+
 @attrs.frozen
 class OperatorSettings:
     """Listen address and credentials of operators.
@@ -126,6 +137,7 @@
         platform.
     :param values: what jobs are worth to their callers.
     :param overload: refusal of jobs at submission.
+    :param teams: how teams share capacity that is contended.
     :param max_row_bytes: largest value of a row in the store, in bytes.
     """
 
@@ -141,6 +153,7 @@
     operators: OperatorSettings | None = None
     values: ValueSettings = attrs.field(factory=ValueSettings)
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
+    teams: TeamSettings = attrs.field(factory=TeamSettings)
     max_row_bytes: int = 65536
 
 
@@ -160,6 +173,7 @@
     :param processor_share: speed of this VM in cores; faster VMs become leader first.
     :param values: what jobs are worth to their callers.
     :param overload: refusal of jobs at submission.
+    :param teams: how teams share capacity that is contended.
     """
 
     id: str = attrs.field(validator=_validate_name)
@@ -175,6 +189,7 @@
     bounds: Bounds = attrs.field(factory=Bounds)
     values: ValueSettings = attrs.field(factory=ValueSettings)
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
+    teams: TeamSettings = attrs.field(factory=TeamSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
     def __attrs_post_init__(self) -> None:
@@ -203,6 +218,7 @@
             bounds=self.bounds,
             values=self.values,
             overload=self.overload,
+            teams=self.teams,
             operators=OperatorSettings(Address.parse(self.operator_address), self.operator_tokens),
         )
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -34,6 +34,7 @@
 from jaypier.jobs.starts import StartVerdict, seconds_until_next_try
 from jaypier.jobs.state import JobState, Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
+from jaypier.jobs.team_log import TeamLog
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.worker_interface import (
     WorkerDirectory,
@@ -96,6 +97,7 @@
     :param status_seconds: time for which callers can query the status of an ended job.
     :param values: what jobs are worth to their callers.
     :param overload: refusal of jobs at submission.
+    :param shares_equally: whether teams without weights have equal shares of contended capacity.
     """
 
     lease_seconds: float
@@ -103,6 +105,7 @@
     status_seconds: float
     values: ValueSettings = attrs.field(factory=ValueSettings)
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
+    shares_equally: bool = False
 
 
 class Leader:
@@ -151,8 +154,13 @@
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
         self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
+        self.planner.team_shares.shares_equally = settings.shares_equally
         self.learned = LearnedState(
-            {"durations": self.cluster_state.durations, "speeds": self.cluster_state.speeds}
+            {
+                "durations": self.cluster_state.durations,
+                "speeds": self.cluster_state.speeds,
+                "shares": self.planner.team_shares,
+            }
         )
         self.overload = OverloadDetector(settings.overload, self.planner.valuation)
         self.refusals: dict[str, tuple[int, float]] = {}
@@ -160,6 +168,7 @@
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
+        self.team_log = TeamLog()
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
@@ -518,6 +527,7 @@
             for failure in failures:
                 self.metrics.count("leader.plan_failures")
                 log.error("planning failed", job=failure.job_id, exc_info=failure.error)
+            self.team_log.observe(self.planner, self.metrics, started_at)
             self.stop_runs(plan.stops, "preempted")
             for run in plan.starts:
                 self.spawn(self.start_run(run), f"start {run.task}")
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -34,6 +34,7 @@
 from jaypier.scheduling.packing import Packing
 from jaypier.scheduling.rooms import ContendedPools
 from jaypier.scheduling.team_limits import TeamLimits
+from jaypier.scheduling.team_shares import TeamShares
 
 PROVEN_SECONDS = 3.0
 """Age of the last success on a worker up to which it is preferred for work that has failed."""
@@ -96,6 +97,7 @@
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
+    :ivar team_shares: compares how well teams are served.
     :ivar considered: job that the pass is concerned with, ``None`` outside of decisions about one.
     :ivar decided: decisions of the pass so far.
     """
@@ -118,6 +120,7 @@
         self.expired: set[str] = set()
         self.reservations: list[Reservation] = []
         self.team_limits = TeamLimits()
+        self.team_shares = TeamShares()
         self.considered: JobState | None = None
         self.decided = Plan([], [])
         self.stop_costs = StopCosts(self.valuation, restore_seconds, 0.0, 0.0)
@@ -205,6 +208,7 @@
                 if may_preempt and preempting_steps < MAX_PREEMPTING_STEPS:
                     preempting_steps += 1
                     stops += self.make_room(step, workers, now, wall_time)
+        self.team_shares.update(self.cluster_state, now, self.team_limits.blocked.keys())
         return Plan(starts, stops)
 
     def has_reservation(self, step: StepState) -> bool:
@@ -286,7 +290,8 @@
                 guaranteed = self.guarantees.get(job.team, 0)
                 return (0, guaranteed, job.submitted_at, job.id)
             group = 2 if job.id in self.expired else 1
-            return (group, -self.valuation.score(state, wall_time), job.submitted_at, job.id)
+            score = self.valuation.score(state, wall_time) * self.team_shares.factor(job.team)
+            return (group, -score, job.submitted_at, job.id)
 
         return sorted(waiting, key=sort_key)
 
--- a/src/jaypier/jobs/tests/load_player.py
+++ b/src/jaypier/jobs/tests/load_player.py
@@ -100,6 +100,7 @@
 
     :param seconds: time during which jobs arrive.
     :param speeds: speeds that the workers have in turn.
+    :param team_sizes: share of the jobs of each team; without, all teams send as much.
     """
 
     kinds: tuple[JobKind, ...]
@@ -110,6 +111,7 @@
     teams: int = 4
     guaranteed: int = 16
     speeds: tuple[float, ...] = (1.0,)
+    team_sizes: tuple[float, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -150,6 +152,7 @@
     :param windows: mean worth of the two worst windows of a sixth of the time each.
     :param duration_error: mean absolute logarithm of expected over true duration at speed 1, when
         runs were started.
+    :param by_team: value that was earned for each team, as a share of the value of all its jobs.
     """
 
     worth: float
@@ -159,6 +162,7 @@
     stops: int
     windows: float
     duration_error: float
+    by_team: dict[str, float]
 
 
 def draw_jobs(load: Load, seed: int) -> list[PlayedJob]:
@@ -197,6 +201,13 @@
     return math.exp(error * kind.estimate_error)
 
 
+def draw_team(load: Load, rng: random.Random) -> int:
+    """Return the number of the team of a job."""
+    if load.team_sizes:
+        return rng.choices(range(load.teams), load.team_sizes)[0]
+    return rng.randrange(load.teams)
+
+
 def draw_job(load: Load, kind: JobKind, rng: random.Random, now: float, number: int) -> PlayedJob:
     """Return one job of a kind."""
     count = max(1, min(kind.max_width, round(draw_lognormal(rng, kind.width, 0.8))))
@@ -217,7 +228,7 @@
         id=f"{number:016x}",
         queue=kind.name,
         service="desk",
-        team=f"team-{rng.randrange(load.teams)}",
+        team=f"team-{draw_team(load, rng)}",
         priority=kind.priority,
         max_attempts=3,
         slack_factor=kind.slack_factor,
@@ -414,6 +425,7 @@
         owed: dict[str, float] = defaultdict(float)
         earned: dict[str, float] = defaultdict(float)
         windows: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        teams: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
         on_time: dict[str, list[bool]] = defaultdict(list)
         for each in self.jobs.values():
             kind = each.kind
@@ -431,6 +443,9 @@
             window = windows[int(6 * each.arrives_at / self.load.seconds)]
             window[0] += share * value
             window[1] += value
+            team = teams[each.job.team]
+            team[0] += share * value
+            team[1] += value
         total = sum(each.core_seconds() for each in self.jobs.values())
         worst = sorted(got / wanted for got, wanted in windows.values())[:2]
         return Outcome(
@@ -441,6 +456,7 @@
             stops=self.stops,
             windows=mean_of(worst),
             duration_error=mean_of(self.duration_errors),
+            by_team={name: got / wanted for name, (got, wanted) in teams.items()},
         )
 
 
--- a/src/jaypier/jobs/tests/test_single_start.py
+++ b/src/jaypier/jobs/tests/test_single_start.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import asyncio
-
 import attrs
 import pytest
 
