Team limits: a claim keeps no job waiting for long while its team holds little

Cause: a gang that its team's limit keeps waiting claimed what the limit would leave, so that a small job of the team could wait for as long, although the team held less than half of its limit.

Change: after 2 s without a run such a job starts in spite of the claim.

--- a/src/jaypier/scheduling/team_limits.py
+++ b/src/jaypier/scheduling/team_limits.py
@@ -19,6 +19,10 @@
 CHANGE_SECONDS = 2.0
 """Time after a change of the limits during which earlier ones may still be in force on some VM."""
 
+MAX_CLAIM_WAIT_SECONDS = 2.0
+"""Age from which a job without a run is not kept waiting by a claim of another step while its team
+holds less than half of its limit. No such job may wait for 3 s while there is room for it."""
+
 RESOURCE_NAMES = (
     ("accelerators", "accelerators"),
     ("processor_millis", "thousandths of a core"),
@@ -138,13 +142,21 @@
             for limits in in_force
         )
         claim = self.claims.get(team)
-        if claim is not None and self.outlasts(step, claim):
+        if claim is not None and self.outlasts(step, claim) and not self.has_waited_long(step):
             rest = tasks_within(step.spec.demand, self.limits[team], claim.expected)
             affordable = min(affordable, rest)
         if affordable >= waiting:
             return waiting
         return 0 if step.spec.is_gang else affordable
 
+    def has_waited_long(self, step: StepState) -> bool:
+        """Whether a step may start in spite of a claim, as its team holds little of its limit."""
+        state = step.job
+        if any(state.runs) or self.now - state.added_at < MAX_CLAIM_WAIT_SECONDS:
+            return False
+        twice_held = multiply(self.held[state.spec.team], 2)
+        return is_within_limit(twice_held, self.limits[state.spec.team])
+
     def outlasts(self, step: StepState, claim: Claim) -> bool:
         """Whether a step would still hold resources when the step of a claim could start."""
         ends_at = math.inf if step.spec.lasts else self.now + step.expected_seconds
--- a/src/jaypier/scheduling/tests/test_team_limits.py
+++ b/src/jaypier/scheduling/tests/test_team_limits.py
@@ -278,6 +278,18 @@
                 end_run(cluster_state, run, 2.0, number)
         assert [run.step.job for run in planner.plan(2.1, 2.1).starts] == [gang] * 7
 
+    def test_claim_does_not_keep_a_job_waiting_while_its_team_holds_little(self):
+        cluster_state = make_cluster_state(4)
+        planner = make_limited_planner(
+            cluster_state, make_job(make_step(count=3, seconds=60.0)), limit=8
+        )
+        confirm(cluster_state, planner.plan(0.0, 0.0).starts)
+        add_job(planner, make_step(count=8, seconds=1.0, is_gang=True), priority=1, now=0.1)
+        late = add_job(planner, make_step(count=1, seconds=70.0), priority=2, now=0.1)
+        assert planner.plan(0.1, 0.1).starts == []
+        assert planner.plan(2.0, 2.0).starts == []
+        assert [run.step.job for run in planner.plan(2.2, 2.2).starts] == [late]
+
     def test_urgent_job_within_its_guarantee_stops_runs_of_its_own_team(self):
         cluster_state = make_cluster_state(4)
         planner = make_limited_planner(
