--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -116,8 +116,7 @@
         """
         state.added_at = now
         if state.spec.priority == URGENT_PRIORITY and not state.status.is_final:
-            first = state.spec.steps[0]
-            self.headroom.observe_arrival(first.count * first.demand.accelerators, now)
+            self.headroom.observe_arrival(state.spec.steps[0], now)
         self.valuation.observe(state)
         self.packing.observe(state.spec.steps)
 
