--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -142,6 +142,7 @@
             "peers": sorted(self.transport.peers.peers),
         }
         if leader is not None:
+            state["stranded_share"] = leader.stranding.newest.share
             state["jobs"] = {
                 job_id: {"status": str(job.status), "runs": len(list(job.runs))}
                 for job_id, job in leader.cluster_state.jobs.items()
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -30,6 +30,7 @@
 from jaypier.jobs.session import WorkerSession
 from jaypier.jobs.state import Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
+from jaypier.jobs.stranding_log import StrandingLog
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.worker_interface import (
     WorkerDirectory,
@@ -141,6 +142,7 @@
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
         self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
+        self.stranding = StrandingLog(metrics)
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
@@ -439,6 +441,7 @@
                 plan = self.planner.plan(started_at, self.wall_clock())
                 pass_seconds = self.clock.now() - started_at
                 self.metrics.record("leader.plan", pass_seconds)
+                self.stranding.update(self.cluster_state, self.planner.usable_workers, started_at)
                 self.stop_runs(plan.stops, "preempted")
                 for run in plan.starts:
                     self.spawn(self.start_run(run), f"start {run.task}")
--- a/src/jaypier/scheduling/forecast.py
+++ b/src/jaypier/scheduling/forecast.py
@@ -20,8 +20,9 @@
 TREND_GAIN = 0.2
 """Share of the newest error by which the trend is corrected."""
 
-ERROR_GAIN = 0.25
-"""Share by which the mean absolute error follows the newest error."""
+ERROR_GAIN = 0.1
+"""Share by which the mean absolute error follows the newest error: little, so that a burst does not
+count as noise while it lasts."""
 
 
 class ArrivalForecast:
