--- a/src/jaypier/jobs/tests/test_uneven_load.py
+++ b/src/jaypier/jobs/tests/test_uneven_load.py
@@ -9,11 +9,9 @@
 from jaypier.jobs.model import Resources
 from jaypier.jobs.planning import Planner
 from jaypier.jobs.tests.load_player import JobKind, Load, LoadPlayer, PlayedJob, mean_of
-from jaypier.jobs.tests.test_heavy_load import BURST, NOISE, OVERLOAD
+from jaypier.jobs.tests.test_heavy_load import BURST, NOISE, OVERLOAD, SEEDS
 from jaypier.scheduling.packing import Packing, dominant_share
 
-SEEDS = range(2)
-
 WIDE_TASKS = 8
 """Number of tasks from which a gang is wide: as many as a rack has workers."""
 
--- a/src/jaypier/scheduling/forecast.py
+++ b/src/jaypier/scheduling/forecast.py
@@ -20,7 +20,7 @@
 TREND_GAIN = 0.2
 """Share of the newest error by which the trend is corrected."""
 
-ERROR_GAIN = 0.1
+ERROR_GAIN = 0.15
 """Share by which the mean absolute error follows the newest error: little, so that a burst does not
 count as noise while it lasts."""
 
