--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -34,6 +34,7 @@
 from jaypier.jobs.starts import StartVerdict, seconds_until_next_try
 from jaypier.jobs.state import JobState, Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
+from jaypier.jobs.stranding_log import StrandingLog
 from jaypier.jobs.team_log import TeamLog
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.worker_interface import (
@@ -165,6 +166,7 @@
         self.overload = OverloadDetector(settings.overload, self.planner.valuation)
         self.refusals: dict[str, tuple[int, float]] = {}
         writer.summarize_load = self.summarize_load
+        self.stranding = StrandingLog(metrics)
         self.sessions: dict[str, WorkerSession] = {}
         self.task_group: asyncio.TaskGroup | None = None
         self.scheduling_requested = asyncio.Event()
@@ -528,6 +530,7 @@
                 self.metrics.count("leader.plan_failures")
                 log.error("planning failed", job=failure.job_id, exc_info=failure.error)
             self.team_log.observe(self.planner, self.metrics, started_at)
+            self.stranding.update(self.cluster_state, self.planner.usable_workers, started_at)
             self.stop_runs(plan.stops, "preempted")
             for run in plan.starts:
                 self.spawn(self.start_run(run), f"start {run.task}")
--- a/src/jaypier/scheduling/packing.py
+++ b/src/jaypier/scheduling/packing.py
@@ -14,6 +14,7 @@
 import attrs
 
 from jaypier.jobs.model import Resources, Step
+from jaypier.scheduling.rooms import dominant_share, shares
 
 RECENT_SECONDS = 60.0
 """Time after which a submitted task counts by a factor of e less."""
@@ -33,17 +34,6 @@
 """Difference of two speeds below which workers count as equally fast."""
 
 
-def shares(demand: Resources, capacity: Resources) -> list[float]:
-    """Return the share of each resource of a worker that one task takes."""
-    amounts = zip(attrs.astuple(demand), attrs.astuple(capacity), strict=True)
-    return [wanted / owned if owned > 0 else float(wanted > 0) for wanted, owned in amounts]
-
-
-def dominant_share(demand: Resources, capacity: Resources) -> float:
-    """Return the largest share of a resource of a worker that one task takes."""
-    return max(shares(demand, capacity))
-
-
 def binding_resource(demand: Resources, capacity: Resources) -> int:
     """Return which resource runs out first, accelerators if several do.
 
--- a/src/jaypier/scheduling/rooms.py
+++ b/src/jaypier/scheduling/rooms.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import attrs
+
 from jaypier.jobs.model import Resources
 from jaypier.jobs.state import JobState, StepState, Worker
 
@@ -30,6 +32,17 @@
     }
 
 
+def shares(demand: Resources, capacity: Resources) -> list[float]:
+    """Return the share of each resource of a worker that one task takes."""
+    amounts = zip(attrs.astuple(demand), attrs.astuple(capacity), strict=True)
+    return [wanted / owned if owned > 0 else float(wanted > 0) for wanted, owned in amounts]
+
+
+def dominant_share(demand: Resources, capacity: Resources) -> float:
+    """Return the largest share of a resource of a worker that one task takes."""
+    return max(shares(demand, capacity))
+
+
 @functools.lru_cache(maxsize=4096)
 def room_share(demand: Resources, capacity: Resources) -> float:
     """Return the share of a worker that a task keeps from others.
@@ -39,13 +52,7 @@
 
     :param capacity: capacity of a typical worker.
     """
-    pairs = (
-        (demand.processor_millis, capacity.processor_millis),
-        (demand.memory_mb, capacity.memory_mb),
-        (demand.accelerators, capacity.accelerators),
-    )
-    shares = [needed / available for needed, available in pairs if available > 0]
-    return min(1.0, max(shares, default=1.0))
+    return min(1.0, dominant_share(demand, capacity))
 
 
 class ContendedPools:
@@ -74,12 +81,8 @@
     capacity, free = Resources(), Resources()
     for worker in workers:
         capacity, free = capacity + worker.entry.capacity, free + worker.free
-    pairs = (
-        (capacity.processor_millis, free.processor_millis),
-        (capacity.memory_mb, free.memory_mb),
-        (capacity.accelerators, free.accelerators),
-    )
-    return min((1 - left / total for total, left in pairs if total > 0), default=0.0)
+    used = zip(shares(free, capacity), attrs.astuple(capacity), strict=True)
+    return min((1 - left for left, owned in used if owned > 0), default=0.0)
 
 
 def step_room_seconds(step: StepState, capacity: Resources) -> float:
--- a/src/jaypier/scheduling/team_shares.py
+++ b/src/jaypier/scheduling/team_shares.py
@@ -17,6 +17,7 @@
 from jaypier.jobs.model import Resources
 from jaypier.jobs.state import JobState
 from jaypier.scheduling.learned_section import LearnedSection
+from jaypier.scheduling.rooms import dominant_share
 
 WINDOW_SECONDS = 30.0
 """Time over which service and demand are averaged: the time within which a job that ends late still
@@ -238,9 +239,3 @@
         for team, (served, arrivals) in record.items():
             restored[team] = TeamUse(max(0.0, float(served)), max(0.0, float(arrivals)))
         self.uses = defaultdict(TeamUse, restored)
-
-
-def dominant_share(amount: Resources, total: Resources) -> float:
-    """Return the share of a total that an amount takes of the resource of which it takes most."""
-    pairs = zip(attrs.astuple(amount), attrs.astuple(total), strict=True)
-    return max((used / whole for used, whole in pairs if whole > 0), default=0.0)
