--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -118,7 +118,8 @@
         if state.spec.priority == URGENT_PRIORITY and not state.status.is_final:
             self.headroom.observe_arrival(state.spec.steps[0], now)
         self.valuation.observe(state)
-        self.packing.observe(state.spec.steps)
+        if not state.status.is_final:
+            self.packing.observe(state.spec.steps)
 
     # Passes
 
