--- a/src/jaypier/jobs/placement.py
+++ b/src/jaypier/jobs/placement.py
@@ -51,31 +51,35 @@
     return False
 
 
-def max_additional_fillers(step: Step, worker: Worker, free: Resources) -> int:
+def max_additional_fillers(step: Step, worker: Worker, free: Resources, added: int = 0) -> int:
     """Return how many more filling tasks a worker can take.
 
     Its free processors limit their total number, which is at least one.
 
     :param free: resources of the worker that may be used.
+    :param added: number of filling tasks that are to start there beside its runs.
     """
-    running = sum(run.step.spec.is_filling for run in worker.runs.values())
+    running = added + sum(run.step.spec.is_filling for run in worker.runs.values())
     wanted = free.processor_millis // max(1, step.demand.processor_millis)
     return max(0, max(1, wanted) - running)
 
 
-def max_tasks_on(step: Step, worker: Worker, free: Resources, placed: int = 0) -> int:
+def max_tasks_on(
+    step: Step, worker: Worker, free: Resources, placed: int = 0, added: int = 0
+) -> int:
     """Return how many more tasks of a step fit on a worker.
 
     :param free: resources of the worker that may be used.
     :param placed: number of tasks of the step that run on the worker already.
+    :param added: number of tasks of the step that are to start there; ``free`` is without theirs.
     """
     if not has_required_label(step, worker) or would_interfere(step, worker):
         return 0
     copies = step.reserved.copies_within(free)
     if step.is_filling:
-        copies = min(copies, max_additional_fillers(step, worker, free))
+        copies = min(copies, max_additional_fillers(step, worker, free, added))
     if step.max_per_worker:
-        copies = min(copies, step.max_per_worker - placed)
+        copies = min(copies, step.max_per_worker - placed - added)
     return max(0, copies)
 
 
@@ -85,6 +89,7 @@
     free_of: FreeResourcesOf,
     placed: Counter[str] | None = None,
     is_pressing: bool = False,
+    added: Counter[str] | None = None,
 ) -> list[WorkerSlots]:
     """Return the workers on which tasks of a step fit, the best fit first.
 
@@ -95,15 +100,18 @@
     :param free_of: returns the resources of a worker that may be used.
     :param placed: number of tasks of the step that run already, by worker id.
     :param is_pressing: whether the step needs fast workers; other work leaves them free.
+    :param added: number of tasks of the step that are to start, by worker id; ``free_of`` is
+        without theirs.
     """
     placed = placed or Counter()
+    added = added or Counter()
     demand, data_rack = step.demand, step.data_rack
     found = []
     for worker in workers:
         free = free_of(worker)
         if free.accelerators < demand.accelerators:
             continue
-        tasks = max_tasks_on(step, worker, free, placed[worker.id])
+        tasks = max_tasks_on(step, worker, free, placed[worker.id], added[worker.id])
         if tasks > 0:
             is_remote = bool(data_rack) and worker.entry.rack != data_rack
             level = speed_level(worker.speed) * (-1 if is_pressing else 1)
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -31,7 +31,7 @@
 from jaypier.jobs.preemption import Fit, StopCosts, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.valuation import Valuation, ValueSettings
-from jaypier.scheduling.packing import Packing
+from jaypier.scheduling.packing import Packing, scaled
 from jaypier.scheduling.rooms import ContendedPools
 from jaypier.scheduling.team_limits import TeamLimits
 from jaypier.scheduling.team_shares import TeamShares
@@ -366,6 +366,26 @@
 
         A gang is assigned as a whole or not at all.
 
+        :param now: time on the local clock, in seconds.
+        """
+        chosen = self.choose_workers(step, workers, now)
+        if step.spec.is_gang:
+            if not chosen:
+                return []
+            attempt = self.cluster_state.next_attempt(step.job)
+            return [
+                self.cluster_state.assign_task(step, task, worker, attempt, now)
+                for task, worker in chosen
+            ]
+        return [self.assign_independent_task(step, task, worker, now) for task, worker in chosen]
+
+    def choose_workers(
+        self, step: StepState, workers: list[Worker], now: float
+    ) -> list[tuple[TaskState, Worker]]:
+        """Return the waiting tasks of a step that fit now, each with its worker.
+
+        All tasks of a gang are returned, or none. No state is changed.
+
         :param now: time on the local clock, in seconds.
         """
         free_of = self.free_resources_for(step)
@@ -380,17 +400,11 @@
                 for each in choices
             )
             chosen = next((placed for placed in placements if placed), [])
-            if not chosen:
-                return []
-            attempt = self.cluster_state.next_attempt(step.job)
-            return [
-                self.cluster_state.assign_task(step, task, worker, attempt, now)
-                for task, worker in zip(step.tasks, chosen, strict=True)
-            ]
+            return list(zip(step.tasks, chosen, strict=True)) if chosen else []
         if step.job.crash_suspects:
             placed = self.tasks_per_worker(step)
             permitted = self.isolation.trial_workers(step, permitted, free_of, placed)
-        return self.place_independent_tasks(step, permitted, free_of, now)
+        return self.choose_for_independent_tasks(step, permitted, free_of, now)
 
     def is_pressing(self, step: StepState, now: float) -> bool:
         """Whether a step needs fast workers: its job is in time still, but not on slow ones.
@@ -465,10 +479,10 @@
             (fit for fit in fits if fit is not None), key=lambda fit: fit.seconds, default=None
         )
 
-    def place_independent_tasks(
+    def choose_for_independent_tasks(
         self, step: StepState, candidates: list[Worker], free_of: FreeResourcesOf, now: float
-    ) -> list[Run]:
-        """Assign the waiting tasks of a step that is not a gang; return the new runs.
+    ) -> list[tuple[TaskState, Worker]]:
+        """Return the waiting tasks that fit of a step that is not a gang, each with its worker.
 
         :param now: time on the local clock, in seconds.
         """
@@ -477,25 +491,28 @@
         waiting = waiting[: self.team_limits.affordable_tasks(step)]
         never_failed = [task for task in waiting if not task.failed_on]
         is_pressing = self.is_pressing(step, now)
-        ranked = slots_by_fit(
-            step.spec, candidates, free_of, self.tasks_per_worker(step), is_pressing
-        )
-        chosen = assign_tasks(step.spec, ranked, free_of, len(never_failed), self.packing)
-        started = [
-            self.assign_independent_task(step, task, worker, now)
-            for task, worker in zip(never_failed, chosen, strict=False)
-        ]
+        running = self.tasks_per_worker(step)
+        ranked = slots_by_fit(step.spec, candidates, free_of, running, is_pressing)
+        workers = assign_tasks(step.spec, ranked, free_of, len(never_failed), self.packing)
+        chosen = list(zip(never_failed, workers, strict=False))
+        # The tasks chosen before take room from those that follow.
+        added = Counter(worker.id for _, worker in chosen)
+
+        def free_beside(worker: Worker) -> Resources:
+            free = free_of(worker)
+            count = added[worker.id]
+            return free - scaled(step.spec.reserved, count) if count else free
+
         for task in [task for task in waiting if task.failed_on]:
-            choices = self.choices_for(candidates, task.failed_on, now)
             ranked = (
-                slots_by_fit(step.spec, each, free_of, self.tasks_per_worker(step), is_pressing)
-                for each in choices
+                slots_by_fit(step.spec, each, free_beside, running, is_pressing, added)
+                for each in self.choices_for(candidates, task.failed_on, now)
             )
             found = next((slots for slots in ranked if slots), [])
-            started += [
-                self.assign_independent_task(step, task, slots.worker, now) for slots in found[:1]
-            ]
-        return started
+            for slots in found[:1]:
+                chosen.append((task, slots.worker))
+                added[slots.worker.id] += 1
+        return chosen
 
     def choices_for(
         self, candidates: list[Worker], failed_on: set[str], now: float
