Serve explanations of where jobs would go

Cause: only the leader can answer, and the users' platform has no operators' API.

Change: GET /v1/explain/ID and POST /v1/explain at the operators' API, GET /explain/ID at the metrics address. A daemon that does not lead answers 409 with the leader it knows of and the age of that; a leader that is still loading 503. A step that both serves and fills keeps choosing as before when some of its tasks have failed.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -4,22 +4,27 @@
 import random
 import time
 from contextlib import AsyncExitStack
+from urllib.parse import unquote
 
 import msgspec
 import structlog
 
 from jaypier.core.clock import BootClock, MonotonicClock
+from jaypier.core.codec import to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.core.supervision import supervise
 from jaypier.entry.caller_api import CallerApi
 from jaypier.entry.configuration import OperatorSource
+from jaypier.entry.requests import assume_submitted, decode_request
 from jaypier.entry.settings import VmSettings
 from jaypier.entry.watcher import ConfigurationWatcher
 from jaypier.jobs.election import Election
+from jaypier.jobs.explaining import explain_job
 from jaypier.jobs.fenced_writer import FencedWriter
 from jaypier.jobs.leader import Leader, LeaderSettings
 from jaypier.jobs.model import Job
 from jaypier.jobs.rows import JobTable
+from jaypier.jobs.state import JobState
 from jaypier.jobs.team_log import describe_teams
 from jaypier.notes.cache import EntityCache
 from jaypier.notes.service import NoteService
@@ -27,6 +32,7 @@
 from jaypier.operators.api import DaemonState, OperatorApi
 from jaypier.operators.credentials import Credentials
 from jaypier.platform import PlatformUnavailable, Row
+from jaypier.platform.callers import BadRequest
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.platform.store import MAX_RESPONSE_BYTES, StoreTable
 from jaypier.platform.workers import HttpWorkerLink, StoreWorkerDirectory
@@ -34,6 +40,7 @@
 from jaypier.relay.peers import PeerList
 from jaypier.relay.transport import FailoverTransport
 from jaypier.scheduling.overload import ACCEPTED, Admission, decide_admission, decode_summary
+from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import HttpLimits, HttpServer
@@ -48,6 +55,9 @@
 DRAIN_MARGIN_SECONDS = 1.0
 """Part of the grace period that is reserved for the time after draining requests."""
 
+EXPLAIN_PATH = "/explain/"
+"""Path prefix, at the metrics address, of the explanation of a job."""
+
 log = structlog.get_logger()
 
 
@@ -87,7 +97,14 @@
             source = NoteOperatorSource(self.table, cache)
             notes = NoteService(self.table, self.directory, cache, self.metrics, self.rng)
             credentials = Credentials(settings.operators.tokens)
-            self.operator_api = OperatorApi(notes, credentials, self.describe, self.dump)
+            self.operator_api = OperatorApi(
+                notes,
+                credentials,
+                self.describe,
+                self.dump,
+                self.explain,
+                self.explain_request,
+            )
         self.watcher = ConfigurationWatcher(source, BootClock(), self.rng)
         self.caller_api = CallerApi(
             self.watcher,
@@ -116,9 +133,11 @@
         return HttpResponse(200 if is_ready else 503)
 
     async def handle_metrics(self, request: HttpRequest) -> HttpResponse:
-        """Serve counters and histograms as text, and ``/dump`` as JSON."""
+        """Serve counters and histograms as text, ``/dump`` and ``/explain/ID`` as JSON."""
         if request.path == "/dump":
             return json_response(200, msgspec.json.encode(self.dump()))
+        if request.path.startswith(EXPLAIN_PATH):
+            return self.explain(unquote(request.path.removeprefix(EXPLAIN_PATH)))
         lines = [f"{name} {value}" for name, value in sorted(self.metrics.counters.items())]
         for name, summary in self.metrics.summaries().items():
             lines.append(f"{name}_count {summary.count}")
@@ -164,6 +183,69 @@
             state["teams"] = describe_teams(leader.planner)
         return state
 
+    def explain(self, job_id: str) -> HttpResponse:
+        """Respond with where a job would go now, and why.
+
+        Status 404 if the leader does not know the job, and as for ``why_not_answering``.
+        """
+        refusal = self.why_not_answering()
+        if refusal is not None:
+            return refusal
+        state = self.leader.cluster_state.jobs.get(job_id)
+        if state is None:
+            return self.respond(404, {"error": f"the leader knows no job {job_id[:64]!r}"})
+        return self.respond(200, self.explain_state(state))
+
+    def explain_request(self, body: bytes) -> HttpResponse:
+        """Respond with where a job that has not been sent would go now, and why.
+
+        Status 422 if the body is not valid, and as for ``why_not_answering``.
+        """
+        refusal = self.why_not_answering()
+        if refusal is not None:
+            return refusal
+        configuration = self.watcher.configuration
+        if configuration is None:
+            return self.respond(503, {"error": "no configuration has been read yet"})
+        try:
+            job, team = decode_request(body, configuration, time.time())
+        except BadRequest as error:
+            return self.respond(422, {"error": str(error)})
+        excess = explain_excess(team.name, job.steps, team.limit)
+        admission = self.decide_admission(job, team.guaranteed_accelerators)
+        state = assume_submitted(job, self.leader.cluster_state, self.clock.now())
+        refused = excess or (admission.reason if admission.is_refused else "")
+        return self.respond(200, {**self.explain_state(state), "refused": refused})
+
+    def explain_state(self, state: JobState) -> dict:
+        """Return the explanation of a job as plain JSON values; only while this daemon leads."""
+        explanation = explain_job(self.leader.planner, state, self.clock.now(), time.time())
+        return {
+            "epoch": self.leader.epoch,
+            "has_authority": self.leader.has_authority,
+            **to_plain(explanation),
+        }
+
+    def why_not_answering(self) -> HttpResponse | None:
+        """Return the response of a daemon that cannot explain where jobs go, ``None`` if it can.
+
+        Status 409 if it does not lead, with the leader as far as it knows and the age of that
+        knowledge; 503 if it leads but has not loaded its state.
+        """
+        if self.leader is None:
+            election = self.election
+            age = None if election is None else self.clock.now() - election.last_renewal_at
+            name = self.find_leader()
+            error = f"this daemon does not lead; {name} does" if name else "no leader is known"
+            return self.respond(409, {"error": error, "leader": name, "age_seconds": age})
+        if not self.leader.is_loaded:
+            return self.respond(503, {"error": "the leader is still loading its state"})
+        return None
+
+    def respond(self, status: int, values: dict) -> HttpResponse:
+        """Return a response with JSON values and the name of this VM."""
+        return json_response(status, msgspec.json.encode({"vm": self.settings.name, **values}))
+
     def describe(self) -> DaemonState:
         """Return the name, data centre, configuration version and shutdown state of this daemon."""
         configuration = self.watcher.configuration
--- a/src/jaypier/entry/tests/test_daemon.py
+++ b/src/jaypier/entry/tests/test_daemon.py
@@ -1,14 +1,19 @@
+import asyncio
+import json
 import random
+from types import SimpleNamespace
 
 import attrs
 import pytest
 
 from jaypier.core.address import Address
 from jaypier.core.clock import VirtualClock
+from jaypier.entry.configuration import Configuration, Route, Team
 from jaypier.entry.daemon import EntryDaemon
 from jaypier.entry.settings import Bounds, VmSettings
 from jaypier.jobs.election import Election, LeaderRecord
-from jaypier.jobs.tests.builders import make_job, make_step
+from jaypier.jobs.model import Resources
+from jaypier.jobs.tests.builders import make_cluster_state, make_job, make_planner, make_step
 from jaypier.scheduling.overload import (
     MAX_SUMMARY_AGE_SECONDS,
     LoadSummary,
@@ -16,6 +21,7 @@
     PoolLoad,
     encode_summary,
 )
+from jaypier.wire.messages import HttpRequest
 from standins.cluster import MemoryStore
 
 OVERLOAD = LoadSummary({"desk": PoolLoad(((100.0, 60.0),), ((64000, 131072, 8),))})
@@ -63,3 +69,72 @@
     def test_nothing_is_refused_unless_settings_say_so(self):
         daemon = make_daemon(encode_summary(OVERLOAD), refuses=False)
         assert not daemon.decide_admission(self.JOB, 0).is_refused
+
+
+class TestExplanations:
+    """Answers at the metrics address, which the operators' API passes on as they are."""
+
+    REQUEST = {
+        "queue": "example/desk/",
+        "team": "team-a",
+        "job": {"Phases": [{"Count": 3, "Gpu": 1, "EstimatedMs": 2000}]},
+    }
+
+    def ask(self, daemon, path):
+        response = asyncio.run(daemon.handle_metrics(HttpRequest("GET", path)))
+        return response.status, json.loads(response.body)
+
+    def make_leading_daemon(self, job):
+        """Return a daemon that leads a cluster of two workers."""
+        daemon = make_daemon(None)
+        cluster_state = make_cluster_state(2)
+        planner = make_planner(cluster_state, job)
+        daemon.leader = SimpleNamespace(
+            cluster_state=cluster_state,
+            planner=planner,
+            epoch=3,
+            has_authority=True,
+            is_loaded=True,
+            writer=SimpleNamespace(record=LeaderRecord("vm-a/1", 3), renewed_at=100.0),
+        )
+        return daemon
+
+    def test_daemon_that_does_not_lead_names_the_leader(self):
+        daemon = make_daemon(None)
+        daemon.clock.advance(0.5)
+        status, body = self.ask(daemon, "/explain/00000000000000ab")
+        assert (status, body["vm"], body["leader"]) == (409, "vm-a", "vm-b")
+        assert body["age_seconds"] == pytest.approx(0.5)
+
+    def test_daemon_without_an_election_knows_no_leader(self):
+        daemon = make_daemon(None)
+        daemon.election = None
+        status, body = self.ask(daemon, "/explain/00000000000000ab")
+        assert (status, body["leader"], body["age_seconds"]) == (409, "", None)
+
+    def test_leader_explains_known_jobs(self):
+        job = make_job(make_step(count=3))
+        daemon = self.make_leading_daemon(job)
+        status, body = self.ask(daemon, f"/explain/{job.id}")
+        assert (status, body["job"], body["epoch"]) == (200, job.id, 3)
+        assert body["steps"][0]["fits_now"] == 3
+        assert self.ask(daemon, "/explain/00000000000000ff")[0] == 404
+        daemon.leader.is_loaded = False
+        assert self.ask(daemon, f"/explain/{job.id}")[0] == 503
+
+    def test_leader_explains_a_request_without_adding_it(self):
+        daemon = self.make_leading_daemon(make_job())
+        daemon.watcher.configuration = Configuration(
+            1,
+            (Route("example", "/desk/", "desk", 1, 3, 3.0, 1.0, 5.0),),
+            (Team("team-a", frozenset(), 0, Resources(0, 0, 2)),),
+        )
+        jobs = list(daemon.leader.cluster_state.jobs)
+        response = daemon.explain_request(json.dumps(self.REQUEST).encode())
+        body = json.loads(response.body)
+        assert (response.status, body["job"], body["refused"]) == (200, "(request)", "")
+        assert body["steps"][0]["fits_now"] == 3
+        assert list(daemon.leader.cluster_state.jobs) == jobs
+        for wrong in ({}, {**self.REQUEST, "queue": "none"}, {**self.REQUEST, "team": "none"}):
+            assert daemon.explain_request(json.dumps(wrong).encode()).status == 422
+        assert daemon.explain_request(b"{").status == 422
--- a/src/jaypier/jobs/explaining.py
+++ b/src/jaypier/jobs/explaining.py
@@ -395,7 +395,7 @@
         return []
     if not has_required_label(step.spec, worker):
         return ["label"]
-    if would_interfere(step.spec, worker):
+    if would_interfere(step.spec, worker, added):
         return ["serving and filling tasks kept apart"]
     needed = step.spec.reserved
     short = [
--- a/src/jaypier/jobs/placement.py
+++ b/src/jaypier/jobs/placement.py
@@ -42,8 +42,13 @@
     return not step.label or step.label in worker.entry.labels
 
 
-def would_interfere(step: Step, worker: Worker) -> bool:
-    """Whether a filling and a serving task would share a worker, which is not allowed."""
+def would_interfere(step: Step, worker: Worker, added: int = 0) -> bool:
+    """Whether a filling and a serving task would share a worker, which is not allowed.
+
+    :param added: number of tasks of the step that are to start there beside its runs.
+    """
+    if added and step.is_filling and step.is_serving:
+        return True
     if step.is_filling:
         return any(run.step.spec.is_serving for run in worker.runs.values())
     if step.is_serving:
@@ -73,7 +78,7 @@
     :param placed: number of tasks of the step that run on the worker already.
     :param added: number of tasks of the step that are to start there; ``free`` is without theirs.
     """
-    if not has_required_label(step, worker) or would_interfere(step, worker):
+    if not has_required_label(step, worker) or would_interfere(step, worker, added):
         return 0
     copies = step.reserved.copies_within(free)
     if step.is_filling:
--- a/src/jaypier/operators/api.py
+++ b/src/jaypier/operators/api.py
@@ -70,6 +70,8 @@
     :param credentials: operator tokens.
     :param describe: returns the id and state of this daemon.
     :param dump: returns the full state of this daemon as plain values.
+    :param explain: responds with where the job with an id would go now.
+    :param explain_request: responds with where the job in a body would go now.
     """
 
     def __init__(
@@ -78,11 +80,15 @@
         credentials: Credentials,
         describe: Callable[[], DaemonState],
         dump: Callable[[], dict],
+        explain: Callable[[str], HttpResponse],
+        explain_request: Callable[[bytes], HttpResponse],
     ) -> None:
         self.notes = notes
         self.credentials = credentials
         self.describe = describe
         self.dump = dump
+        self.explain = explain
+        self.explain_request = explain_request
         self.routes: dict[str, RouteHandler] = {
             "GET /v1/notes/": self.get_note,
             "POST /v1/notes": self.post_note,
@@ -91,6 +97,8 @@
             "GET /v1/configuration": self.get_configuration,
             "GET /v1/daemon": self.get_daemon,
             "GET /v1/dump": self.get_dump,
+            "GET /v1/explain/": self.get_explanation,
+            "POST /v1/explain": self.post_explanation,
         }
 
     @property
@@ -195,6 +203,15 @@
         """Return the full state of this daemon, without secrets."""
         return ok_response(self.dump())
 
+    async def get_explanation(self, request: HttpRequest, name: str) -> HttpResponse:
+        """Return where a job would go now, by its id or the name that a note has given it."""
+        scheduled_job = self.cache.jobs.get(name)
+        return self.explain(name if scheduled_job is None else scheduled_job.id)
+
+    async def post_explanation(self, request: HttpRequest, name: str) -> HttpResponse:
+        """Return where a job that has not been sent would go now; nothing is stored."""
+        return self.explain_request(request.body)
+
 
 def redact_keys(team: Team) -> dict:
     """Return a team as plain values, with its API keys replaced by their number."""
--- a/src/jaypier/operators/tests/test_api.py
+++ b/src/jaypier/operators/tests/test_api.py
@@ -10,7 +10,7 @@
 from jaypier.notes.tests.builders import job_value, run_scenario, team_value
 from jaypier.operators.api import DaemonState, OperatorApi, decode_note
 from jaypier.operators.credentials import Credentials
-from jaypier.wire.messages import HttpRequest
+from jaypier.wire.messages import HttpRequest, json_response
 
 EXAMPLE = Path(__file__).parents[4] / "examples" / "note.json"
 
@@ -80,6 +80,8 @@
                 Credentials({"amina": "operator-token"}),
                 lambda: DaemonState("entry-1", "dc-a", harness.daemons[0].cache.version, False),
                 dict,
+                lambda job_id: json_response(200, json.dumps({"job": job_id}).encode()),
+                lambda body: json_response(200, body),
             )
 
             async def call(method: str, path: str, value=None, token: bytes = b"operator-token"):
@@ -119,6 +121,25 @@
 
         self.run_scenario(scenario)
 
+    def test_explanations_are_asked_by_id_or_name_and_need_a_token(self):
+        async def scenario(harness, call):
+            added = {"teams": [team_value("clinic")], "jobs": [job_value("sort")]}
+            await call("POST", "/v1/notes", {"id": "a", "added": added})
+            await harness.settle()
+            rows = dict(harness.store.rows)
+            path = "/v1/explain/"
+            self.assertThat(await call("GET", path + "sort"), Equals((200, {"job": "sort-1"})))
+            other = "00000000000000ab"
+            self.assertThat(await call("GET", path + other), Equals((200, {"job": other})))
+            request = {"queue": "q", "team": "clinic", "job": {}}
+            self.assertThat(await call("POST", "/v1/explain", request), Equals((200, request)))
+            self.assertThat((await call("GET", path + other, token=b"wrong"))[0], Equals(401))
+            status, _ = await call("POST", "/v1/explain", request, token=b"wrong")
+            self.assertThat(status, Equals(401))
+            self.assertThat(harness.store.rows, Equals(rows))
+
+        self.run_scenario(scenario)
+
     def test_keys_are_not_disclosed(self):
         async def scenario(harness, call):
             added = {"teams": [team_value("clinic", keys=("secret-key",))]}
