--- a/src/jaypier/cli/client.py
+++ b/src/jaypier/cli/client.py
@@ -79,6 +79,31 @@
                 errors.append(str(error))
         raise NoDaemonReachable("; ".join(errors))
 
+    async def ask_leader(
+        self, method: str, path: str, body: bytes = b""
+    ) -> tuple[DaemonResponse | None, dict[str, str]]:
+        """Send a request to the daemons in order until the one that leads responds.
+
+        :returns: its response, ``None`` if none of them leads; by address, why the others did not
+            answer.
+        :raises NoDaemonReachable: if no daemon responds; the message has the error of each.
+        """
+        reasons: dict[str, str] = {}
+        has_response = False
+        for node in self.nodes:
+            try:
+                response = await self.call_node(node, method, path, body)
+            except TransportError as error:
+                reasons[node] = str(error)
+                continue
+            if response.status not in (409, 503):
+                return response, reasons
+            has_response = True
+            reasons[node] = describe_refusal(response.body)
+        if not has_response:
+            raise NoDaemonReachable("; ".join(reasons.values()))
+        return None, reasons
+
     async def submit(self, body: bytes, timeout_seconds: float) -> DaemonResponse:
         """Submit a note, and resend it as long as its outcome is unknown (status 504).
 
@@ -131,3 +156,9 @@
                 return {"error": str(error)}
 
         return dict(zip(self.nodes, await asyncio.gather(*map(query, self.nodes)), strict=True))
+
+
+def describe_refusal(body: dict) -> str:
+    """Return why a daemon refused, with the age of what it knows of the leader."""
+    age = body.get("age_seconds")
+    return f"{body.get('error')}{'' if age is None else f' (known {age:.1f} s ago)'}"
--- a/src/jaypier/cli/main.py
+++ b/src/jaypier/cli/main.py
@@ -8,12 +8,14 @@
 import secrets
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import attrs
 import msgspec
 import typer
 
 from jaypier.cli.client import DaemonClient, DaemonResponse, NoDaemonReachable
+from jaypier.cli.explanation import format_explanation
 from jaypier.core.address import Address
 
 EXIT_REFUSED = 1
@@ -174,6 +176,44 @@
     print_result(context.obj, body, format_json(body))
 
 
+@app.command()
+def explain(
+    context: typer.Context,
+    job: Annotated[str | None, typer.Argument(help="Id of a job, or its name in a note.")] = None,
+    request: Annotated[
+        Path | None,
+        typer.Option("--request", help="JSON file with queue, team and job, not sent yet."),
+    ] = None,
+) -> None:
+    """Explain where a job would go now, and why; nothing is sent to workers or stored.
+
+    Asks the daemons given by --node for the one that leads.
+    """
+    options: Options = context.obj
+    if (job is None) == (request is None):
+        typer.echo("jaypier: give either a job or --request FILE", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    if request is None:
+        call = options.client.ask_leader("GET", f"/v1/explain/{quote(job, safe='')}")
+    else:
+        try:
+            body = request.read_bytes()
+        except OSError as error:
+            typer.echo(f"jaypier: {request}: cannot be read: {error}", err=True)
+            raise typer.Exit(EXIT_USAGE) from error
+        call = options.client.ask_leader("POST", "/v1/explain", body)
+    response, others = run_or_exit(call)
+    if response is None:
+        error = "none of the daemons given by --node leads"
+        text = "\n".join([error, *(f"  {node}: {reason}" for node, reason in others.items())])
+        print_result(options, {"error": error, "daemons": others}, text)
+        raise typer.Exit(EXIT_REFUSED)
+    if response.status != 200:
+        print_result(options, response.body, f"{response.body.get('error')}")
+        raise typer.Exit(EXIT_REFUSED)
+    print_result(options, response.body, format_explanation(response.body))
+
+
 @app.command()
 def configuration(context: typer.Context) -> None:
     """Show the configuration in force."""
