Explain at most five steps, those that could start first

Cause: an answer runs on the leader between passes.

Change: MAX_EXPLAINED_STEPS is 5 instead of 20; steps that could start come first.

--- a/src/jaypier/jobs/explaining.py
+++ b/src/jaypier/jobs/explaining.py
@@ -8,6 +8,7 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from operator import itemgetter
 
 import attrs
 
@@ -21,8 +22,9 @@
 MAX_NAMED_WORKERS = 10
 """Maximum number of workers that are named for a step."""
 
-MAX_EXPLAINED_STEPS = 20
-"""Maximum number of steps that are explained, so that the leader is not kept from its passes."""
+MAX_EXPLAINED_STEPS = 5
+"""Maximum number of steps that are explained, so that an answer does not keep the leader from its
+passes for longer than about one pass takes."""
 
 
 @attrs.frozen
@@ -135,12 +137,17 @@
         contended = contended_pools(view, ranked[: rank - 1], workers)
         if contended.contains(spec.service, workers):
             cannot_start = "worth nothing any more, and others wait for the room"
-    open_steps = [step for step in state.steps if not step.is_done]
+    open_steps = sorted((step for step in state.steps if not step.is_done), key=explained_order)
     explained: dict[tuple[int, int], StepExplanation] = {}
     for step in open_steps[:MAX_EXPLAINED_STEPS]:
-        earlier = [explained.get((step.occurrence, number)) for number in step.spec.after]
+        siblings = state.occurrences[step.occurrence]
+        earlier = [
+            explained.get((step.occurrence, number))
+            for number in step.spec.after
+            if not siblings[number].is_done
+        ]
         explained[step.occurrence, step.number] = explain_step(
-            view, step, workers, [each for each in earlier if each], cannot_start, now
+            view, step, workers, earlier, cannot_start, now
         )
     factor = view.team_shares.factor(spec.team)
     return Explanation(
@@ -163,11 +170,18 @@
             is_limit_known=not view.team_limits.is_pending,
             share_factor=factor,
         ),
-        steps=list(explained.values()),
+        steps=[each for _, each in sorted(explained.items(), key=itemgetter(0))],
         steps_left_out=len(open_steps) - len(explained),
     )
 
 
+def explained_order(step: StepState) -> int:
+    """Return the place of a step among those to explain: what could start first, then what runs."""
+    if not step.waiting:
+        return 1
+    return 0 if step.is_startable else 2
+
+
 def copy_for_reading(planner: Planner, state: JobState, now: float) -> Planner:
     """Return a copy of a planner whose questions about a job leave the planner as it is.
 
@@ -235,14 +249,14 @@
     view: Planner,
     step: StepState,
     workers: list[Worker],
-    earlier: list[StepExplanation],
+    earlier: list[StepExplanation | None],
     cannot_start: str,
     now: float,
 ) -> StepExplanation:
     """Explain where the waiting tasks of a step would go now.
 
     :param workers: workers that accept tasks.
-    :param earlier: explanations of the open steps that it depends on.
+    :param earlier: explanations of the open steps that it depends on, ``None`` for one left out.
     :param cannot_start: why its job is left out, empty if it is not.
     :param now: time on the local clock, in seconds.
     """
@@ -301,13 +315,13 @@
     step: StepState,
     workers: list[Worker],
     chosen: int,
-    earlier: list[StepExplanation],
+    earlier: list[StepExplanation | None],
     now: float,
 ) -> float | None:
     """Return the time until all tasks of a step are expected to fit, ``None`` if it is not known.
 
     :param chosen: number of its tasks that fit now.
-    :param earlier: explanations of the open steps that it depends on.
+    :param earlier: explanations of the open steps that it depends on, ``None`` for one left out.
     """
     if chosen == len(step.waiting):
         return 0.0
@@ -319,7 +333,8 @@
         return None
     times = [fit.seconds]
     for each in earlier:
-        times.append(math.inf if each.ends_in_seconds is None else each.ends_in_seconds)
+        is_known = each is not None and each.ends_in_seconds is not None
+        times.append(each.ends_in_seconds if is_known else math.inf)
     if view.team_limits.affordable_tasks(step) < len(step.waiting):
         claim = view.team_limits.claims.get(step.job.spec.team)
         is_own = claim is not None and claim.step is step
--- a/src/jaypier/jobs/tests/test_explaining.py
+++ b/src/jaypier/jobs/tests/test_explaining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jaypier.core.codec import to_plain
-from jaypier.jobs.explaining import MAX_NAMED_WORKERS, explain_job
+from jaypier.jobs.explaining import MAX_EXPLAINED_STEPS, MAX_NAMED_WORKERS, explain_job
 from jaypier.jobs.model import Resources, Step
 from jaypier.jobs.state import new_job_state
 from jaypier.jobs.tests.builders import make_cluster_state, make_job, make_planner, make_step
@@ -268,3 +268,23 @@
         plain = msgspec.json.decode(msgspec.json.encode(to_plain(explained)))
         assert plain["job"] == job.id
         assert plain["steps"][0]["fits_now"] == 14
+
+    def test_steps_that_could_start_are_explained_first(self):
+        planner = make_planner(make_cluster_state(1))
+        later = [make_step(after=(0,)) for _ in range(MAX_EXPLAINED_STEPS)]
+        last = make_step(after=(MAX_EXPLAINED_STEPS,))
+        explained = explain(planner, make_job(make_step(), *later, last, make_step()))
+        numbers = [step.number for step in explained.steps]
+        assert numbers == [*range(MAX_EXPLAINED_STEPS - 1), MAX_EXPLAINED_STEPS + 2]
+        assert explained.steps_left_out == 3
+
+    def test_step_after_one_without_an_end_has_no_time(self):
+        planner = make_planner(make_cluster_state(1))
+        first = [make_step() for _ in range(MAX_EXPLAINED_STEPS - 1)]
+        never = make_step(accelerators=9)
+        job = make_job(*first, never, make_step(after=(MAX_EXPLAINED_STEPS - 1,)))
+        state = new_job_state(job)
+        for task in state.steps[0].tasks:
+            task.is_done = True
+        explained = explain_job(planner, state, 1.0, 1.0)
+        assert [step.fits_in_seconds for step in explained.steps[-2:]] == [None, None]
