Headroom as before: the forecast kept too many workers free

Cause: the forecast counted urgent arrivals in the resource that binds. Change: the headroom of before.

--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -134,7 +134,8 @@
         """
         state.added_at = now
         if state.spec.priority == URGENT_PRIORITY and not state.status.is_final:
-            self.headroom.observe_arrival(state.spec.steps[0], now)
+            first = state.spec.steps[0]
+            self.headroom.observe_arrival(first.count * first.demand.accelerators, now)
         self.valuation.observe(state)
         if not state.status.is_final:
             self.packing.observe(state.spec.steps)
