A draining worker that has left and is out of reach is not waited for

The load of the refusal test refuses nothing with the merged decisions, so it now has six times the room instead of four; its check is the same.

--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -107,8 +107,9 @@
             if leader.cluster_state.dirty_jobs:
                 leader.progress_writer.write_requested.set()
         worker.is_unreachable = True
-        if isinstance(error, WorkerEnded) and not worker.is_registered:
-            # A process that has ended and is not registered any more has no run of any leader.
+        has_ended = isinstance(error, WorkerEnded) or not worker.entry.is_ready
+        if has_ended and not worker.is_registered:
+            # It runs nothing any more: it refuses connections, or was leaving and is out of reach.
             worker.is_reconciled = True
             leader.scheduling_requested.set()
         leader.metrics.count("leader.workers_unreachable")
--- a/src/jaypier/scheduling/tests/test_overload.py
+++ b/src/jaypier/scheduling/tests/test_overload.py
@@ -177,7 +177,7 @@
 
 
 class TestRefusalsUnderLoad:
-    """Demand of four times the room by callers with little patience, without guarantees."""
+    """Demand of six times the room by callers with little patience, without guarantees."""
 
     def test_only_jobs_that_earn_nothing_are_refused(self):
         impatient = tuple(
@@ -185,7 +185,7 @@
             for kind in PROCESSOR_BOUND.kinds
         )
         load = attrs.evolve(PROCESSOR_BOUND, kinds=impatient, workers=8, guaranteed=0)
-        players = [RefusalRecorder(scaled_to(load, 4.0), seed) for seed in range(3)]
+        players = [RefusalRecorder(scaled_to(load, 6.0), seed) for seed in range(3)]
         for player in players:
             player.play()
         refused = [each for player in players for each in player.refused]
