--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -12,6 +12,7 @@
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
 from jaypier.entry.configuration import Configuration, Route
+from jaypier.entry.requests import build_job
 from jaypier.entry.watcher import ConfigurationWatcher
 from jaypier.jobs.model import Job, JobStatus
 from jaypier.jobs.rows import JobRefused, JobTable, JobTooLarge
@@ -189,22 +190,7 @@
             return error_response(400, str(error))
         if route.needs_placement_advice:
             return error_response(400, "queues that need advice are not supported")
-        job = Job(
-            id=call.job_id,
-            queue=route.queue,
-            service=route.service,
-            team=call.team,
-            priority=route.priority,
-            max_attempts=route.max_attempts,
-            slack_factor=route.slack_factor,
-            target_seconds=route.target_seconds,
-            submitted_at=self.wall_clock(),
-            payload=request.payload,
-            steps=request.steps,
-            repeats=request.repeats,
-            first_start_at=request.first_start_at,
-            interval_seconds=request.interval_seconds,
-        )
+        job = build_job(call.job_id, route, call.team, request, self.wall_clock())
 
         async def accept(call: Call) -> HttpResponse:
             try:
--- a/src/jaypier/entry/requests.py
+++ b/src/jaypier/entry/requests.py
@@ -1,12 +1,12 @@
-"""Requests that operators ask about before any caller sends them."""
+"""Requests for jobs: those that callers send, and those that operators ask about before."""
 
 import msgspec
 
-from jaypier.entry.configuration import Configuration, Team
+from jaypier.entry.configuration import Configuration, Route, Team
 from jaypier.jobs.cluster_state import ClusterState
 from jaypier.jobs.model import Job
 from jaypier.jobs.state import JobState, new_job_state
-from jaypier.platform.callers import BadRequest, decode_job
+from jaypier.platform.callers import BadRequest, JobRequest, decode_job
 
 REQUEST_ID = "(request)"
 """Id of the job of such a request; no job of a caller or a note can have it."""
@@ -36,23 +36,32 @@
     if route.needs_placement_advice:
         raise BadRequest("queues that need advice are not supported")
     request = decode_job(msgspec.json.encode(value["job"]))
-    job = Job(
-        id=REQUEST_ID,
+    return build_job(REQUEST_ID, route, team.name, request, wall_time), team
+
+
+def build_job(
+    job_id: str, route: Route, team_name: str, request: JobRequest, submitted_at: float
+) -> Job:
+    """Return the job that a request on a route becomes.
+
+    :param submitted_at: Unix time in seconds.
+    """
+    return Job(
+        id=job_id,
         queue=route.queue,
         service=route.service,
-        team=team.name,
+        team=team_name,
         priority=route.priority,
         max_attempts=route.max_attempts,
         slack_factor=route.slack_factor,
         target_seconds=route.target_seconds,
-        submitted_at=wall_time,
+        submitted_at=submitted_at,
         payload=request.payload,
         steps=request.steps,
         repeats=request.repeats,
         first_start_at=request.first_start_at,
         interval_seconds=request.interval_seconds,
     )
-    return job, team
 
 
 def assume_submitted(job: Job, cluster_state: ClusterState, now: float) -> JobState:
