--- a/src/jaypier/scheduling/stranding.py
+++ b/src/jaypier/scheduling/stranding.py
@@ -5,7 +5,7 @@
 import attrs
 
 from jaypier.jobs.model import Resources
-from jaypier.scheduling.packing import shares
+from jaypier.scheduling.rooms import shares
 
 
 @attrs.frozen
