--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A job never begins beside idle minions, as another one of the same shape waits for a lost minion."""
+"""A job never begins beside idle minions, as one of the same shape waits for a lost minion."""
 
 import asyncio
 import sys
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -42,11 +42,8 @@
             job["Phases"][0] |= {"LongRunning": True, "EstimatedMs": 8000}
         await world.submit(job_id, job)
         until = time.monotonic() + 40
-        calm_since = time.monotonic()
         while time.monotonic() < until:
             active = [run for run in world.runs_of(job_id) if run.ended is None]
-            if active or crashes[job_id] < CRASHES and world.trouble:
-                calm_since = time.monotonic()
             state = await world.state(job_id)
             if state in ("failed", "completed"):
                 break
@@ -64,9 +61,8 @@
                 broken.append(f"{'lasting' if lasting else 'plain'} job {job_id}")
         else:
             world.record.write(f"job {job_id}: {state}")
-        if not lasting:
-            break
-        await world.ask(world.daemons[0], "DELETE", job_id)
+        if lasting:
+            await world.ask(world.daemons[0], "DELETE", job_id)
     for task in backs:
         task.cancel()
     if broken:
