--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,7 @@
 
 CUT_SECONDS = 5.5
 KILL_DELAY_SECONDS = 0.5
+DOWN_SECONDS = 0.5
 WORK_SECONDS = 18.0
 JOBS = 6
 
@@ -45,7 +46,10 @@
         await victim.set_cut("refuse")
         await asyncio.sleep(KILL_DELAY_SECONDS)
         leader.send(9)
-        await asyncio.sleep(CUT_SECONDS - KILL_DELAY_SECONDS)
+        await leader.process.wait()
+        await asyncio.sleep(DOWN_SECONDS)
+        await leader.start()
+        await asyncio.sleep(CUT_SECONDS - KILL_DELAY_SECONDS - DOWN_SECONDS)
         await victim.set_cut(None)
     else:
         await asyncio.sleep(CUT_SECONDS)
