--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -244,6 +244,19 @@
 
     # Workers
 
+    def restore_recorded_tasks(self, worker: Worker, tasks: frozenset[TaskId] | None) -> None:
+        """Take over what the store records of the runs that earlier leaders left on a worker.
+
+        :param tasks: the only tasks that may have one, ``None`` if any may.
+        """
+        worker.recorded_tasks = tasks
+        worker.awaits_record = tasks is not None
+        for task_id in tasks or ():
+            self.open_reported_occurrence(task_id)
+            found = self.find_task(task_id)
+            if found is not None:
+                found[1].may_run_on += (worker,)
+
     def register_worker(self, entry: WorkerEntry, now: float) -> Worker:
         """Add a worker or update its registration.
 
@@ -331,6 +344,36 @@
         """Workers whose runs the current leader does not know yet."""
         return [worker for worker in self.workers.values() if not worker.is_reconciled]
 
+    @property
+    def has_located_runs(self) -> bool:
+        """Whether each run of an earlier leader is known, or its task is unaccounted for.
+
+        Until then, any task of a job that such a leader may have started may have a run somewhere.
+        """
+        return all(worker.recorded_tasks is not None for worker in self.unreconciled_workers)
+
+    def startable_jobs(self, now: float) -> list[JobState]:
+        """Return the jobs of which tasks may start.
+
+        Jobs that an earlier leader may have started wait until its runs are located. Those that
+        must not start twice, or may crash their workers, wait until every run is known.
+
+        :param now: time on the local clock, in seconds.
+        """
+        is_reconciled, has_located_runs = not self.unreconciled_workers, self.has_located_runs
+
+        def has_known_runs(state: JobState) -> bool:
+            if not state.is_recovered:
+                return not state.awaits_confirmation
+            may_start_early = state.spec.is_repeatable and not state.crash_suspects
+            return is_reconciled or (has_located_runs and may_start_early)
+
+        return [
+            state
+            for state in self.jobs.values()
+            if not state.status.is_final and state.not_before <= now and has_known_runs(state)
+        ]
+
     # Runs
 
     def assign_task(
@@ -663,8 +706,12 @@
         return step.is_tearing_down
 
     def tear_down_partial_gangs(self) -> None:
-        """Mark gangs for tear-down if an earlier leader left only some of their runs."""
+        """Mark gangs for tear-down if an earlier leader left only some of their runs.
+
+        Gangs with tasks that are unaccounted for are left alone.
+        """
         for state in self.jobs.values():
             for step in state.steps:
-                if step.spec.is_gang and 0 < len(step.runs) < step.spec.count:
+                is_partial = step.spec.is_gang and 0 < len(step.runs) < step.spec.count
+                if is_partial and not step.has_unaccounted:
                     step.is_tearing_down = True
--- a/src/jaypier/jobs/explaining.py
+++ b/src/jaypier/jobs/explaining.py
@@ -207,7 +207,9 @@
         return "has ended"
     if state.not_before > now:
         return f"set aside for {state.not_before - now:.1f} s"
-    if state.is_recovered and cluster_state.unreconciled_workers:
+    if state not in cluster_state.startable_jobs(now):
+        if state.awaits_confirmation:
+            return "learned of when another leader may have been elected: waits for the store"
         return "may run already: not all workers have reported to this leader"
     if not state.occurrences:
         return "no occurrence is due"
@@ -391,6 +393,7 @@
         (not worker.entry.is_ready, "draining"),
         (worker.is_unreachable, "unreachable"),
         (not worker.is_reconciled, "not reported yet"),
+        (worker.awaits_record, "its use is not recorded yet"),
         (worker.has_unknown_runs, "unknown runs"),
         (not cluster_state.is_capacity_known(worker, now), "capacity not known"),
     )
--- a/src/jaypier/jobs/fenced_writer.py
+++ b/src/jaypier/jobs/fenced_writer.py
@@ -50,6 +50,8 @@
     :ivar confirmed_at: time on the local clock, in seconds, at which the last confirmed write was
         sent.
     :ivar renewed_at: time on the local clock, in seconds, of the last confirmed renewal.
+    :ivar renewal_sent_at: time on the local clock, in seconds, at which it was sent.
+    :ivar elected_version: version of the leader's row at the election.
     """
 
     def __init__(
@@ -63,6 +65,9 @@
         self.summarize_load: Callable[[], LoadSummary | None] = lambda: None
         self.confirmed_at = clock.now()
         self.renewed_at = clock.now()
+        age = max(0.0, table.store_time() - record.renewed_at)
+        self.renewal_sent_at = clock.now() - age
+        self.elected_version = version
 
     async def open(self) -> None:
         """Read the version of the row ``turns/turn``."""
@@ -133,6 +138,7 @@
             Condition(SEQUENCE_KEY, self.sequence_version),
         ]
         leader_puts: list[Put] = [Put(SEQUENCE_KEY, self.record.epoch)]
+        sent_at = self.clock.now()
         if renew:
             self.record = attrs.evolve(
                 self.record,
@@ -145,6 +151,7 @@
         self.sequence_version = version
         if renew:
             self.version = version
+            self.renewal_sent_at = sent_at
             self.renewed_at = self.clock.now()
 
     def refresh_versions(self, current: dict[str, Any]) -> None:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -27,7 +27,7 @@
     RECORDED_WORKERS_TABLE,
     JobChanges,
     decode_job_rows,
-    decode_worker_entry,
+    decode_worker_record,
     restore_jobs,
 )
 from jaypier.jobs.session import WorkerSession
@@ -71,16 +71,17 @@
 REPORT_MAX_AGE_SECONDS = 3.0
 """Age up to which a worker's last report shows that it has accepted no newer epoch."""
 
-RECONCILE_TIMEOUT_SECONDS = 9.5
-"""Time after which no run of an earlier leader is active on an unreachable worker: the age of
-reports up to which that leader still starts runs and extends leases, the longest lease on a clock
-that is 2% slow, and a margin."""
+RECONCILE_MARGIN_SECONDS = 0.17
+"""Margin of the time after which no run of an earlier leader is active on a worker."""
 
 RECONCILE_MINORITY_TIMEOUT_SECONDS = 30.0
-"""The same while at least half of the workers have not reported to the new leader."""
+"""Shortest such time while at least half of the workers have not reported to the new leader: the
+earlier one may still reach them, and continue without the store."""
 
-RECONCILE_DEREGISTERED_TIMEOUT_SECONDS = 3.0
-"""The same for a deregistered worker: a live one registers again within about 2 s."""
+UNREPLACED_SECONDS = 1.3
+"""Age of the last confirmed renewal up to which no other daemon can have been elected: the time
+after which others take over, without the most by which the VMs' views of the store's clock
+differ, and a margin."""
 
 START_TIMEOUT_SECONDS = 1.5
 """Time for which the start of a run is retried: half of the time for which the tasks of a gang wait
@@ -129,6 +130,8 @@
     :ivar workers_version: the same for the entries of workers.
     :ivar refusals: rows of refused jobs to be deleted in time, as their version and the time on the
         local clock, in seconds, at which they were read, by id.
+    :ivar unconfirmed_jobs: version of the rows of jobs that this leader learned of when another one
+        may have been elected, by id. They start once the store has confirmed a later write.
     :ivar unreadable_jobs: ids of the jobs whose progress cannot be decoded. They are left alone:
         nobody knows which of their tasks have run.
     """
@@ -174,6 +177,7 @@
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
+        self.unconfirmed_jobs: dict[str, int] = {}
         self.unreadable_jobs: set[str] = set()
         self.is_loaded = False
         self.jobs_version = 0
@@ -239,6 +243,7 @@
                 # The recorded Unix time is not used: VM clocks differ, and rows must not be deleted
                 # early.
                 state.ended_at = self.clock.now()
+            state.is_recovered = changes.versions[state.spec.id] <= self.writer.elected_version
             self.cluster_state.insert_job(state)
             self.observe_job(state)
         self.observe_refusals(changes)
@@ -246,7 +251,7 @@
         self.jobs_version = jobs.version
         self.workers_version = listing.version
         self.apply_listing(listing, is_complete=True)
-        await self.restore_deregistered_workers()
+        await self.restore_recorded_workers()
         self.is_loaded = True
         log.info(
             "state loaded",
@@ -256,20 +261,29 @@
             version=jobs.version,
         )
 
-    async def restore_deregistered_workers(self) -> None:
-        """Add the deregistered workers that earlier leaders used.
+    async def restore_recorded_workers(self) -> None:
+        """Add the workers that earlier leaders used, and the tasks that may have runs on them.
 
-        Such a worker may still have active runs, also if it was draining: its entry also expires
-        while it cannot reach the store, and a drain may take long or be withdrawn.
+        A deregistered worker may still have active runs, also if it was draining or refuses
+        connections: it may be cut off, so that its entry has expired, and a drain may take long or
+        be withdrawn.
         """
         changes = await self.table.snapshot(RECORDED_WORKERS_TABLE)
         now = self.clock.now()
         values = ((row.key, row.value) for row in changes.rows)
-        for _, entry in decode_valid(values, decode_worker_entry):
-            self.progress_writer.saved_workers[entry.id] = SavedWorker.from_entry(entry)
-            if entry.id not in self.cluster_state.workers:
-                self.apply_entry(entry, now, changes.version)
-                self.cluster_state.deregister_worker(entry.id, now)
+        for _, record in decode_valid(values, decode_worker_record):
+            worker_id = record.entry.id
+            self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
+            if worker_id not in self.cluster_state.workers:
+                self.apply_entry(record.entry, now, changes.version)
+                self.cluster_state.deregister_worker(worker_id, now)
+                log.info(
+                    "deregistered worker restored",
+                    worker=worker_id,
+                    tasks=None if record.tasks is None else len(record.tasks),
+                )
+            worker = self.cluster_state.workers[worker_id]
+            self.cluster_state.restore_recorded_tasks(worker, record.tasks)
 
     def summarize_load(self) -> LoadSummary | None:
         """Return the load of the overloaded pools, ``None`` if there are none or it is unknown."""
@@ -327,8 +341,11 @@
         for job in changes.accepted:
             if job.id in self.unreadable_jobs:
                 continue
-            state = self.cluster_state.add_job(job, may_have_started=not self.has_reconciled)
+            stored_at = changes.versions[job.id]
+            may_have_started = stored_at <= self.writer.elected_version
+            state = self.cluster_state.add_job(job, may_have_started)
             if state is not None:
+                self.await_confirmation(state, stored_at)
                 self.wake_unreconciled_workers()
                 self.observe_job(state)
                 log.info(
@@ -350,6 +367,18 @@
         if rows:
             self.scheduling_requested.set()
 
+    def await_confirmation(self, state: JobState, version: int) -> None:
+        """Let a new job wait for the store if another leader may have been elected before it.
+
+        That leader would not wait for runs of a job that was stored after its election.
+
+        :param version: version of the job's row.
+        """
+        is_unreplaced = self.clock.now() - self.writer.renewal_sent_at <= UNREPLACED_SECONDS
+        if not is_unreplaced and version > self.writer.sequence_version:
+            state.awaits_confirmation = True
+            self.unconfirmed_jobs[state.spec.id] = version
+
     def observe_job(self, state: JobState) -> None:
         """Tell the planner of a job; an unexpected error is logged, and the job stays."""
         try:
@@ -436,6 +465,7 @@
             if worker is not None and worker.is_registered:
                 log.info("worker deregistered", worker=worker_id, version=listing.version)
                 self.cluster_state.deregister_worker(worker_id, now)
+                self.progress_writer.write_requested.set()
         for entry in listing.entries.values():
             if entry is not None:
                 self.apply_entry(entry, now, listing.version)
@@ -463,6 +493,10 @@
                 version=version,
             )
         worker = self.cluster_state.register_worker(entry, now)
+        if existing is None:
+            worker.awaits_record = True
+        if worker.awaits_record or not worker.accepts_tasks:
+            self.progress_writer.write_requested.set()
         session = self.sessions.get(entry.id)
         if session is None or session.worker is not worker:
             session = WorkerSession(self, worker)
@@ -548,34 +582,53 @@
         unreconciled = self.cluster_state.unreconciled_workers
         now = self.clock.now()
         if unreconciled:
-            is_minority = 2 * len(unreconciled) >= len(self.cluster_state.workers)
-            timeout = (
-                RECONCILE_MINORITY_TIMEOUT_SECONDS if is_minority else RECONCILE_TIMEOUT_SECONDS
-            )
+            timeout = self.reconcile_timeout_seconds
             for worker in unreconciled:
                 # A worker that has reported has runs of an unknown job and has to report again.
-                since, allowed = max(self.elected_at, worker.last_report_at), timeout
-                if not worker.is_registered:
-                    # The entry may have expired just now, with runs of an earlier leader active.
-                    since, allowed = (
-                        max(since, worker.deregistered_at),
-                        RECONCILE_DEREGISTERED_TIMEOUT_SECONDS,
-                    )
+                since = max(self.elected_at, worker.last_report_at)
                 is_new = (
                     worker.last_report_at == -math.inf
                     and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
                     and self.has_reconciled
                 )
-                if is_new or now - since > allowed:
-                    worker.is_reconciled = True
-                    worker.is_unreachable = True
-        if not self.has_reconciled and not self.cluster_state.unreconciled_workers:
-            self.has_reconciled = True
+                if not is_new and now - since <= timeout:
+                    continue
+                worker.is_reconciled = True
+                worker.is_unreachable = True
+                if not is_new:
+                    log.info(
+                        "worker not waited for any longer",
+                        worker=worker.id,
+                        registered=worker.is_registered,
+                        seconds=now - since,
+                    )
+        if self.has_reconciled:
+            return
+        if self.cluster_state.has_located_runs:
             self.cluster_state.tear_down_partial_gangs()
+        if not self.cluster_state.unreconciled_workers:
+            self.has_reconciled = True
             self.cluster_state.end_lost_unrepeatable_jobs()
             self.cluster_state.crashes.give_up_restored_tasks()
             log.info("workers reconciled", epoch=self.epoch, seconds=now - self.elected_at)
 
+    @property
+    def reconcile_timeout_seconds(self) -> float:
+        """Time after its election from which no run of an earlier leader is active anywhere.
+
+        It covers the age of reports up to which an earlier leader still starts runs and extends
+        leases, and the longest lease.
+        """
+        timeout = (
+            REPORT_MAX_AGE_SECONDS
+            + self.cluster_state.longest_lease_seconds
+            + RECONCILE_MARGIN_SECONDS
+        )
+        unreconciled = len(self.cluster_state.unreconciled_workers)
+        if 2 * unreconciled >= len(self.cluster_state.workers):
+            return max(timeout, RECONCILE_MINORITY_TIMEOUT_SECONDS)
+        return timeout
+
     async def run_periodic_checks(self) -> None:
         """Open due occurrences, expire leases and remove deregistered workers, until cancelled.
 
@@ -600,7 +653,7 @@
 
     def drop_worker(self, worker: Worker) -> None:
         """Remove a deregistered worker on which nothing can run."""
-        if not worker.is_reconciled and not self.has_reconciled:
+        if not worker.is_reconciled:
             return
         self.cluster_state.remove_worker(worker)
         session = self.sessions.pop(worker.id, None)
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -247,20 +247,12 @@
 
         Urgent jobs within their team's guarantee come first, those of teams with smaller guarantees
         before others. All other jobs follow by descending score, those that can be worth nothing
-        any more last. Jobs that an earlier leader may have started are left out until all workers
-        have been reconciled.
+        any more last.
 
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
-        is_reconciled = not self.cluster_state.unreconciled_workers
-        waiting = [
-            state
-            for state in self.cluster_state.jobs.values()
-            if not state.status.is_final
-            and state.not_before <= now
-            and (is_reconciled or not state.is_recovered)
-        ]
+        waiting = self.cluster_state.startable_jobs(now)
         used = self.accelerators_by_team(lambda job: job.priority == URGENT_PRIORITY)
         covered: set[str] = set()
         urgent = [state for state in waiting if state.spec.priority == URGENT_PRIORITY]
@@ -337,8 +329,8 @@
             worker
             for worker in self.cluster_state.workers.values()
             if worker.is_reconciled
-            and worker.is_registered
-            and worker.entry.is_ready
+            and worker.accepts_tasks
+            and not worker.awaits_record
             and not worker.is_unreachable
             and not worker.has_unknown_runs
             and self.cluster_state.is_capacity_known(worker, now)
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -9,17 +9,18 @@
 
 from jaypier.core.codec import encoded_size, to_compact
 from jaypier.jobs.fenced_writer import MAX_ROWS_PER_WRITE
-from jaypier.jobs.model import WorkerEntry
+from jaypier.jobs.model import TaskId
 from jaypier.jobs.progress import record_progress, without_checkpoints
 from jaypier.jobs.rows import (
     PENDING_KEY,
     JobTable,
+    WorkerRecord,
     cancel_key,
     job_key,
     progress_key,
     worker_key,
 )
-from jaypier.jobs.state import JobState, Run
+from jaypier.jobs.state import JobState, Run, Worker
 from jaypier.platform import PlatformUnavailable, Put
 
 if TYPE_CHECKING:
@@ -46,18 +47,19 @@
 
 @attrs.frozen
 class SavedWorker:
-    """The part of a worker's entry that requires its row to be written again when it changes.
+    """The part of a worker's row that requires it to be written again when it changes.
 
     :param born: Unix time in milliseconds at which its process started.
+    :param tasks: the only tasks that may have runs on it, ``None`` while tasks may start there.
     """
 
-    is_ready: bool
     born: int
+    tasks: frozenset[TaskId] | None
 
     @classmethod
-    def from_entry(cls, entry: WorkerEntry) -> "SavedWorker":
-        """Return this part of an entry."""
-        return cls(entry.is_ready, entry.born)
+    def from_record(cls, record: WorkerRecord) -> "SavedWorker":
+        """Return this part of a record."""
+        return cls(record.entry.born, record.tasks)
 
 
 class ProgressWriter:
@@ -109,7 +111,8 @@
         if puts or deletes or renew:
             puts += self.learned_puts()
             await leader.writer.write(puts, deletes, renew)
-        self.saved_workers = current
+        self.apply_saved_workers(current)
+        self.confirm_jobs()
         for job_id, status in recorded:
             log.info("job recorded", job=job_id, status=status)
         for state in states:
@@ -221,20 +224,65 @@
         """
         workers = self.leader.cluster_state.workers
         saved = dict(self.saved_workers)
-        if not self.leader.has_reconciled:
-            return saved, [], []
         puts, deletes = [], []
         for worker_id, worker in workers.items():
-            current = SavedWorker.from_entry(worker.entry)
-            if saved.get(worker_id) != current and len(puts) < limit:
-                puts.append(Put(worker_key(worker_id), to_compact(worker.entry)))
-                saved[worker_id] = current
+            current = self.worker_to_save(worker)
+            if current is None or saved.get(worker_id) == current:
+                continue
+            if len(puts) == limit:
+                self.write_requested.set()
+                break
+            value = WorkerRecord(worker.entry, current.tasks).to_value()
+            if encoded_size(value) > self.leader.table.max_row_bytes:
+                log.warning("row of a worker left out: too long", worker=worker_id)
+                continue
+            # Before the row tells that no task starts there any more, none may be on its way.
+            worker.awaits_record = worker.awaits_record or current.tasks is not None
+            puts.append(Put(worker_key(worker_id), value))
+            saved[worker_id] = current
         removed = itertools.islice(saved.keys() - workers.keys(), limit - len(puts))
         for worker_id in list(removed):
             deletes.append(worker_key(worker_id))
             del saved[worker_id]
         return saved, puts, deletes
 
+    def worker_to_save(self, worker: Worker) -> SavedWorker | None:
+        """Return what the row of a worker should tell, ``None`` to leave it as it is.
+
+        The tasks on a worker that accepts no more can only be told once all of its runs are known.
+        """
+        if worker.accepts_tasks:
+            return SavedWorker(worker.entry.born, None)
+        if not worker.is_reconciled or worker.has_unknown_runs:
+            return None
+        tasks = frozenset(run.task for run in worker.runs.values())
+        is_unused = not tasks and worker.id not in self.saved_workers
+        return None if is_unused else SavedWorker(worker.entry.born, tasks)
+
+    def apply_saved_workers(self, saved: dict[str, SavedWorker]) -> None:
+        """Take over which workers the store records now; tasks may start on these."""
+        self.saved_workers = saved
+        for worker in self.leader.cluster_state.workers.values():
+            record = saved.get(worker.id)
+            awaits_record = record is None or record.tasks is not None
+            if worker.awaits_record and not awaits_record:
+                self.leader.scheduling_requested.set()
+            worker.awaits_record = awaits_record
+
+    def confirm_jobs(self) -> None:
+        """Let the jobs start whose rows are older than the newest confirmed write.
+
+        It shows that no other daemon had been elected when they were stored.
+        """
+        version = self.leader.writer.sequence_version
+        awaiting = self.leader.unconfirmed_jobs
+        for job_id in [job_id for job_id, stored in awaiting.items() if stored <= version]:
+            del awaiting[job_id]
+            state = self.leader.cluster_state.jobs.get(job_id)
+            if state is not None:
+                state.awaits_confirmation = False
+                self.leader.scheduling_requested.set()
+
     async def delete_refusals(self) -> None:
         """Delete one row of a refusal whose retention time is over.
 
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -3,8 +3,8 @@
 ``jobs/ID`` is an accepted job, or the refusal of one, and ``jobs/ID-cancel`` a caller's request to
 cancel it; they are written by the VM that received the caller's request. An accepted job is
 written once. A refusal may be replaced, by a job or another refusal. Only the leader writes
-``progress/ID``, ``queues/pending`` and ``workers/ID``, the entry of a worker that leaders have
-used.
+``progress/ID``, ``queues/pending`` and ``workers/ID``, which tells whether tasks may start on a
+worker and which may have runs there.
 """
 
 import contextlib
@@ -16,7 +16,7 @@
 
 from jaypier.core.codec import decode_valid, encoded_size, from_plain, to_compact
 from jaypier.core.errors import JaypierError
-from jaypier.jobs.model import Job, WorkerEntry
+from jaypier.jobs.model import Job, TaskId, WorkerEntry
 from jaypier.jobs.progress import JobProgress, restore_job
 from jaypier.jobs.state import JobState
 from jaypier.platform import (
@@ -91,12 +91,14 @@
     :param cancelled: ids of the jobs to cancel.
     :param refusals: refused jobs, as version of the row by id.
     :param version: version of the store up to which the changes are complete.
+    :param versions: version of the row of each accepted job, by id.
     """
 
     accepted: list[Job]
     cancelled: list[str]
     version: int
     refusals: dict[str, int] = attrs.field(factory=dict)
+    versions: dict[str, int] = attrs.field(factory=dict)
 
 
 def decode_job_rows(rows: list[Row], version: int) -> JobChanges:
@@ -115,7 +117,8 @@
         if not row.name.endswith(CANCEL_SUFFIX) and row.name not in refusals
     ]
     accepted = [job for key, job in decode_valid(jobs, decode_job) if key == job_key(job.id)]
-    return JobChanges(accepted, cancelled, version, refusals)
+    versions = {row.name: row.version for row in present}
+    return JobChanges(accepted, cancelled, version, refusals, versions)
 
 
 def decode_job(value: Any) -> Job:
@@ -136,12 +139,35 @@
     return None if value is None else from_plain(value, JobProgress)
 
 
-def decode_worker_entry(value: Any) -> WorkerEntry:
+@attrs.frozen
+class WorkerRecord:
+    """Value of the row ``workers/ID``.
+
+    It is written before the first task starts on the worker. Once no task may start there any more,
+    it names the tasks with runs on it, so that the next leader does not have to wait for others
+    when the worker cannot be reached.
+
+    :param tasks: the only tasks that may have runs on the worker; ``None`` while tasks may start.
+    """
+
+    entry: WorkerEntry
+    tasks: frozenset[TaskId] | None = None
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the value of the row: the entry, and the names of the tasks if there are any."""
+        value = to_compact(self.entry)
+        return value if self.tasks is None else {**value, "tasks": sorted(map(str, self.tasks))}
+
+
+def decode_worker_record(value: Any) -> WorkerRecord:
     """Decode the value of a recorded worker's row.
 
     :raises DecodeError: when it is not a worker's entry.
+    :raises ValueError: when a task's name cannot be decoded.
     """
-    return from_plain(value, WorkerEntry)
+    entry = from_plain(value, WorkerEntry)
+    tasks = from_plain(value.get("tasks"), list[str] | None)
+    return WorkerRecord(entry, None if tasks is None else frozenset(map(TaskId.parse, tasks)))
 
 
 def restore_jobs(jobs: Iterable[Job], progress_rows: Iterable[Row]) -> Iterator[JobState]:
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -11,7 +11,6 @@
 from jaypier.jobs.state import Worker
 from jaypier.jobs.worker_interface import (
     StaleEpoch,
-    WorkerEnded,
     WorkerReplaced,
     WorkerUnreachable,
 )
@@ -107,11 +106,6 @@
             if leader.cluster_state.dirty_jobs:
                 leader.progress_writer.write_requested.set()
         worker.is_unreachable = True
-        has_ended = isinstance(error, WorkerEnded) or not worker.entry.is_ready
-        if has_ended and not worker.is_registered:
-            # It runs nothing any more: it refuses connections, or was leaving and is out of reach.
-            worker.is_reconciled = True
-            leader.scheduling_requested.set()
         leader.metrics.count("leader.workers_unreachable")
         if worker.entry.address != self.address:
             self.link.close()
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -115,6 +115,7 @@
     :param failed_on: ids of the workers that the next start avoids: those on which the task failed,
         or from which it was moved.
     :param run: current run, ``None`` when the task is not assigned.
+    :param may_run_on: workers on which an earlier leader may have left a run of it.
     """
 
     id: TaskId
@@ -126,6 +127,12 @@
     checkpoint: str = ""
     failed_on: set[str] = attrs.field(factory=set)
     run: Run | None = None
+    may_run_on: tuple["Worker", ...] = ()
+
+    @property
+    def is_unaccounted(self) -> bool:
+        """Whether a run that an earlier leader started may be active and not be known yet."""
+        return any(not worker.is_reconciled for worker in self.may_run_on)
 
     @property
     def possible_crashes(self) -> set[int]:
@@ -167,8 +174,14 @@
 
     @property
     def waiting(self) -> list[TaskState]:
-        """Tasks that have neither succeeded nor been assigned to a worker."""
-        return [task for task in self.tasks if not task.is_done and task.run is None]
+        """Tasks that have neither succeeded nor a run, nor may have an unknown run."""
+        return [
+            task
+            for task in self.tasks
+            if not task.is_done
+            and task.run is None
+            and not (task.may_run_on and task.is_unaccounted)
+        ]
 
     @property
     def runs(self) -> list[Run]:
@@ -182,11 +195,16 @@
         This requires that the steps it depends on are done and, for a gang, that no run of an
         earlier attempt is left.
         """
-        if self.spec.is_gang and (self.is_tearing_down or self.runs):
+        if self.spec.is_gang and (self.is_tearing_down or self.runs or self.has_unaccounted):
             return False
         siblings = self.job.occurrences[self.occurrence]
         return all(siblings[number].is_done for number in self.spec.after)
 
+    @property
+    def has_unaccounted(self) -> bool:
+        """Whether an earlier leader's run of any of its tasks may be active and not be known."""
+        return any(task.may_run_on and task.is_unaccounted for task in self.tasks)
+
     @property
     def unavailable_count(self) -> int:
         """Number of tasks of a long-running step that are not available or are being stopped.
@@ -222,6 +240,8 @@
     :param not_before: time on the local clock, in seconds, before which none of its tasks is
         started.
     :param is_recovered: whether an earlier leader may have started it.
+    :param awaits_confirmation: whether the next leader may take it for one that no earlier leader
+        has started, as this one learned of it when it may have been replaced already.
     :param has_started: whether any of its tasks was ever started.
     :param has_recorded_start: whether the store records that one of its tasks may have been
         started.
@@ -239,6 +259,7 @@
     added_at: float = -math.inf
     not_before: float = -math.inf
     is_recovered: bool = False
+    awaits_confirmation: bool = False
     has_started: bool = False
     has_recorded_start: bool = False
     recorded_attempt: int = 0
@@ -330,6 +351,10 @@
         deregistered.
     :param is_reconciled: whether its runs are known to the current leader: it has reported, or the
         leader has stopped waiting for it.
+    :param awaits_record: whether the store has to record that tasks may start on it before any
+        does.
+    :param recorded_tasks: the only tasks of which earlier leaders may have left runs on it, by the
+        store; ``None`` if any task may have one.
     :param born: Unix time in milliseconds at which the process that reported last started.
     :param clock: the worker's clock at ``clock_read_at``, in milliseconds.
     :param clock_read_at: time on the local clock, in seconds, at which ``clock`` was received.
@@ -367,6 +392,8 @@
     is_registered: bool = True
     deregistered_at: float = -math.inf
     is_reconciled: bool = False
+    awaits_record: bool = False
+    recorded_tasks: frozenset[TaskId] | None = None
     born: int = 0
     clock: int = 0
     clock_read_at: float = 0.0
@@ -395,6 +422,11 @@
         """Id of the worker."""
         return self.entry.id
 
+    @property
+    def accepts_tasks(self) -> bool:
+        """Whether the platform lists it as ready for new tasks."""
+        return self.is_registered and self.entry.is_ready
+
     @property
     def latest_born(self) -> int:
         """Unix time in milliseconds at which its newest known process started."""
--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -128,6 +128,7 @@
 
     def __init__(self, cluster: MemoryCluster) -> None:
         self.cluster = cluster
+        cluster.has_leaders = True
         self.store = cluster.store
         self.clock = LoopClock(asyncio.get_running_loop())
         self.tasks: dict[str, asyncio.Task] = {}
@@ -175,7 +176,7 @@
                 self.cluster,
                 lambda entry: self.cluster.link(name, entry),
                 writer,
-                LeaderSettings(LEASE_SECONDS, 0.5, 120.0),
+                LeaderSettings(self.cluster.lease_seconds, 0.5, 120.0),
                 self.clock,
                 lambda: self.wall_time(name),
                 Metrics(),
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -5,7 +5,7 @@
 
 from jaypier.jobs.model import JobStatus, RunOutcome, StartResponse, TaskId
 from jaypier.jobs.progress import record_progress, restore_job
-from jaypier.jobs.rows import decode_progress, decode_worker_entry
+from jaypier.jobs.rows import decode_progress, decode_worker_record
 from jaypier.jobs.tests.builders import (
     apply_report,
     make_active_run,
@@ -604,4 +604,4 @@
             "born": 1,
             "clock": 0,
         }
-        assert decode_worker_entry(row).machine == ""
+        assert decode_worker_record(row).entry.machine == ""
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -49,6 +49,10 @@
 LIMIT_SEEDS = range(4000, 4012)
 """Seeds that add to schedules, operators and random faults two teams with limits that change."""
 
+PARTITION_SEEDS = range(5000, 5012)
+"""Seeds that add to schedules, operators and random faults workers that run on while they are cut
+off from all VMs and from the store for longer than a live worker needs to register again."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -69,6 +73,7 @@
     :param has_crashing_jobs: whether some jobs crash the workers that start them.
     :param has_unclear_starts: whether start requests are delayed and refused meanwhile.
     :param has_team_limits: whether there are two teams with limits on what they may have running.
+    :param has_partitions: whether workers are cut off from all VMs and from the store.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         has_crashing_jobs: bool = False,
         has_unclear_starts: bool = False,
         has_team_limits: bool = False,
+        has_partitions: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -97,6 +103,7 @@
         self.has_crashing_jobs = has_crashing_jobs
         self.has_unclear_starts = has_unclear_starts
         self.has_team_limits = has_team_limits
+        self.has_partitions = has_partitions
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -132,6 +139,8 @@
         if self.has_team_limits:
             self.harness.limit_teams(TEAM_LIMITS)
             faults += [self.change_team_limits] * 3
+        if self.has_partitions:
+            faults += [self.partition_worker] * 5 + [self.kill_daemon] * 3
         fault_tasks = []
         while self.harness.clock.now() < end:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -278,6 +287,20 @@
         await self.pause()
         self.cluster.cut_links -= cuts
 
+    async def partition_worker(self) -> None:
+        worker = self.pick_worker()
+        cuts = {(name, worker.entry.id) for name in DAEMONS}
+        worker.refuses_when_cut_off = self.rng.random() < 0.5
+        if self.rng.random() < 0.3:
+            self.cluster.begin_draining(worker)
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        self.cluster.cut_links |= cuts
+        await asyncio.sleep(self.rng.uniform(0.0, 4.5))
+        self.cluster.unregister(worker)
+        await self.pause()
+        self.cluster.cut_links -= cuts
+        self.cluster.end_draining(worker)
+
     async def crash_worker(self) -> None:
         worker = self.pick_worker()
         if not worker.is_up:
@@ -377,6 +400,10 @@
     def test_invariants_hold_beside_unclear_starts(self, seed):
         run_seed(seed, has_unclear_starts=True)
 
+    @pytest.mark.parametrize("seed", PARTITION_SEEDS)
+    def test_invariants_hold_beside_workers_that_are_cut_off(self, seed):
+        run_seed(seed, has_partitions=True)
+
     @pytest.mark.parametrize("seed", LIMIT_SEEDS)
     def test_invariants_hold_while_team_limits_change(self, seed):
         run_seed(seed, has_team_limits=True)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -6,7 +6,7 @@
 
 from jaypier.jobs.contained_planning import SET_ASIDE_SECONDS
 from jaypier.jobs.election import LEADER_KEY
-from jaypier.jobs.leader import START_TIMEOUT_SECONDS
+from jaypier.jobs.leader import REPORT_MAX_AGE_SECONDS, START_TIMEOUT_SECONDS
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
 from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
@@ -555,6 +555,129 @@
         run_scenario(scenario)
 
 
+class TestSilentWorkers:
+    """Takeovers beside workers that run on but can no longer be reached."""
+
+    async def cut_off(self, harness, worker) -> None:
+        """Cut a worker off from all VMs and from the store, then kill the leader."""
+        harness.cluster.cut_links |= {(name, worker.entry.id) for name in ("vm-a", "vm-b")}
+        harness.cluster.unregister(worker)
+        await harness.kill(harness.leader_name)
+        await harness.wait_until(lambda: harness.leader_name is not None, 5)
+
+    @pytest.mark.parametrize("refuses", [False, True], ids=["silent", "refusing"])
+    @pytest.mark.parametrize("drains", [False, True], ids=["ready", "draining"])
+    def test_task_on_a_deregistered_worker_waits_until_its_lease_has_ended(self, drains, refuses):
+        # Regression (TWICE): a refused connection, a drain or a missing entry counted as proof
+        # that the worker had ended, and its tasks started again while they were running.
+        async def scenario(harness):
+            job = make_job(make_step(count=4, accelerators=8, seconds=20.0))
+            await harness.start_job(job, 4, 8)
+            await asyncio.sleep(2.0)
+            hidden = next(
+                worker for worker in harness.cluster.workers.values() if len(worker.active) == 1
+            )
+            hidden.refuses_when_cut_off = refuses
+            if drains:
+                harness.cluster.begin_draining(hidden)
+                await asyncio.sleep(1.0)
+            await self.cut_off(harness, hidden)
+            await asyncio.sleep(12.0)
+            await harness.wait_until(lambda: len(harness.cluster.runs) == 5, 1)
+
+        run_scenario(scenario, workers=5)
+
+    def test_other_jobs_do_not_wait_for_a_worker_that_was_leaving(self):
+        async def scenario(harness):
+            job = make_job(make_step(count=4, accelerators=8, seconds=20.0))
+            await harness.start_job(job, 4, 8)
+            await asyncio.sleep(2.0)
+            leaving = next(
+                worker for worker in harness.cluster.workers.values() if len(worker.active) == 1
+            )
+            harness.cluster.begin_draining(leaving)
+            await asyncio.sleep(1.0)
+            await harness.kill(harness.leader_name)
+            other = make_job(make_step(accelerators=8))
+            harness.cluster.submit(other)
+            harness.start_daemon("vm-c")
+            harness.cluster.cut_links |= {(name, leaving.entry.id) for name in ("vm-b", "vm-c")}
+            harness.cluster.cut_links.add(("vm-a", leaving.entry.id))
+            harness.cluster.unregister(leaving)
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await harness.wait_status(other, JobStatus.RUNNING, 0.5)
+            assert len(harness.cluster.runs) == 5
+
+        run_scenario(scenario, workers=5)
+
+    def test_jobs_accepted_after_a_takeover_do_not_wait_for_a_silent_worker(self):
+        async def scenario(harness):
+            job = make_job(make_step(count=4, accelerators=8, seconds=20.0))
+            await harness.start_job(job, 4, 8)
+            await asyncio.sleep(2.0)
+            hidden = next(
+                worker for worker in harness.cluster.workers.values() if len(worker.active) == 1
+            )
+            await self.cut_off(harness, hidden)
+            other = make_job(make_step(accelerators=8))
+            harness.cluster.submit(other)
+            await harness.wait_status(other, JobStatus.RUNNING, 0.5)
+            await asyncio.sleep(12.0)
+
+        run_scenario(scenario, workers=5)
+
+    def test_leader_that_may_have_been_replaced_does_not_start_a_job_it_has_just_learned_of(self):
+        """The next leader does not wait for runs of jobs that were accepted after its election."""
+
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            name = harness.leader_name
+            leader = harness.leaders[name]
+            harness.store.unreachable_vms.add(name)
+            await harness.wait_until(
+                lambda: harness.clock.now() - leader.writer.confirmed_at > 1.6, 3
+            )
+            assert leader.has_authority
+            job = make_job()
+            harness.cluster.submit(job)
+            leader.apply_notified_row(harness.store.rows[job_key(job.id)])
+            await asyncio.sleep(0.2)
+            assert harness.cluster.runs == {}
+            await harness.wait_status(job, JobStatus.COMPLETED, 8)
+
+        run_scenario(scenario)
+
+    def test_job_learned_of_without_the_store_starts_once_the_store_confirms_the_leader(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            leader = harness.leaders[harness.leader_name]
+            job = make_job()
+            harness.store.is_down = True
+            await asyncio.sleep(1.6)
+            harness.cluster.submit(job)
+            leader.apply_notified_row(harness.store.rows[job_key(job.id)])
+            await asyncio.sleep(0.1)
+            assert harness.cluster.runs == {}
+            harness.store.is_down = False
+            await harness.wait_until(lambda: len(harness.cluster.runs) == 1, 0.5)
+            await harness.wait_status(job, JobStatus.COMPLETED, 5)
+
+        run_scenario(scenario)
+
+    def test_wait_covers_the_longest_lease_of_the_deployment(self):
+        # Regression: the wait was made for leases of 6 s, whatever the deployment's leases were.
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            longest = leader.cluster_state.longest_lease_seconds
+            assert longest > 10.0
+            assert leader.reconcile_timeout_seconds > REPORT_MAX_AGE_SECONDS + longest
+
+        run_scenario(scenario, lease_seconds=10.0)
+
+
 class TestElection:
     def test_daemons_that_start_after_an_outage_do_not_wait_for_the_last_leader(self):
         async def scenario(harness):
--- a/src/jaypier/jobs/tests/test_progress_writer.py
+++ b/src/jaypier/jobs/tests/test_progress_writer.py
@@ -1,7 +1,7 @@
 import asyncio
 
-from jaypier.jobs.model import JobStatus
-from jaypier.jobs.rows import job_key, progress_key
+from jaypier.jobs.model import JobStatus, TaskId
+from jaypier.jobs.rows import decode_worker_record, job_key, progress_key, worker_key
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
 
 RETENTION_SECONDS = 120.0 + 60.0
@@ -75,3 +75,59 @@
             assert harness.clock.now() - ended_at > 120.0
 
         run_scenario(scenario)
+
+
+class TestWorkerRows:
+    """What the store tells the next leader of the tasks on a worker."""
+
+    def record(self, harness, worker):
+        return decode_worker_record(harness.store.rows[worker_key(worker.entry.id)].value)
+
+    def test_row_names_the_tasks_on_a_worker_that_accepts_no_more(self):
+        async def scenario(harness):
+            worker = harness.cluster.workers["worker-00"]
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(0.5)
+            assert self.record(harness, worker).tasks is None
+            jobs = [make_job(make_step(seconds=seconds)) for seconds in (1.5, 60.0)]
+            for job in jobs:
+                harness.cluster.submit(job)
+            first, second = (TaskId(job.id, 0, 0, 0) for job in jobs)
+            await harness.wait_until(lambda: len(worker.active) == 2, 1)
+            harness.cluster.begin_draining(worker)
+            named = {first, second}
+            await harness.wait_until(lambda: self.record(harness, worker).tasks == named, 1)
+            await harness.wait_until(lambda: self.record(harness, worker).tasks == {second}, 2)
+
+        run_scenario(scenario, workers=1)
+
+    def test_no_task_starts_on_a_worker_that_is_back_before_its_row_says_so(self):
+        async def scenario(harness):
+            worker = harness.cluster.workers["worker-00"]
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(0.5)
+            harness.cluster.begin_draining(worker)
+            await harness.wait_until(lambda: self.record(harness, worker).tasks == set(), 1)
+            job = make_job()
+            harness.cluster.submit(job)
+            delay_write(harness.store, worker_key(worker.entry.id), 1.0)
+            harness.cluster.end_draining(worker)
+            await asyncio.sleep(0.95)
+            assert not worker.active and self.record(harness, worker).tasks == set()
+            await harness.wait_until(lambda: len(worker.active) == 1, 0.5)
+            assert self.record(harness, worker).tasks is None
+
+        run_scenario(scenario, workers=1)
+
+    def test_row_that_is_too_long_is_left_as_it_is(self):
+        async def scenario(harness):
+            worker = harness.cluster.workers["worker-00"]
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(0.5)
+            await harness.start_job(make_job(make_step(count=8, seconds=60.0)), 8, 1)
+            harness.leaders[harness.leader_name].table.max_row_bytes = 400
+            harness.cluster.begin_draining(worker)
+            await asyncio.sleep(2.0)
+            assert self.record(harness, worker).tasks is None
+
+        run_scenario(scenario, workers=1)
--- a/src/jaypier/jobs/tests/test_single_start.py
+++ b/src/jaypier/jobs/tests/test_single_start.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jaypier.jobs.model import JobStatus, StartResponse
+from jaypier.jobs.rows import job_key, worker_key
 from jaypier.jobs.tests.builders import (
     make_cluster_state,
     make_job,
@@ -94,14 +95,15 @@
         async def scenario(harness):
             job, other = make_job(**SINGLE_START), make_job()
             await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            # No task starts on a worker before the store records it.
+            keys = {worker_key(worker_id) for worker_id in harness.cluster.workers}
+            await harness.wait_until(lambda: keys <= harness.store.rows.keys(), 1)
             harness.cluster.submit(job)
             harness.cluster.submit(other)
             harness.store.is_down = True
             leader = harness.leaders[harness.leader_name]
-            await harness.wait_until(lambda: job.id not in leader.cluster_state.jobs, 1)
-            harness.store.is_down = False
-            await harness.wait_until(lambda: job.id in leader.cluster_state.jobs, 1)
-            harness.store.is_down = True
+            for each in (job, other):
+                leader.apply_notified_row(harness.store.rows[job_key(each.id)])
             await harness.wait_until(lambda: count_starts(harness, other) == 1, 1.5)
             assert count_starts(harness, job) == 0
             harness.store.is_down = False
--- a/src/jaypier/jobs/worker_interface.py
+++ b/src/jaypier/jobs/worker_interface.py
@@ -16,10 +16,6 @@
     """A worker sent no usable response; it may still carry out the request later."""
 
 
-class WorkerEnded(WorkerUnreachable):
-    """No process listens at the worker's address: it has ended, and all its runs with it."""
-
-
 class StaleEpoch(JaypierError):
     """A worker refused a request because it has accepted a newer epoch."""
 
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -18,7 +18,6 @@
 )
 from jaypier.jobs.worker_interface import (
     StaleEpoch,
-    WorkerEnded,
     WorkerLink,
     WorkerListing,
     WorkerReplaced,
@@ -27,7 +26,7 @@
 from jaypier.platform.abstract import TableSource, WatchableTable
 from jaypier.platform.model import Changes, Row
 from jaypier.wire.client import ConnectionPool
-from jaypier.wire.errors import ConnectionRefused, TransportError
+from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 WORKERS_TABLE = "servers"
@@ -204,8 +203,6 @@
         request = HttpRequest("POST", path, self.headers, json.dumps(body).encode())
         try:
             return await self.pool.exchange(request, timeout)
-        except ConnectionRefused as error:
-            raise WorkerEnded(str(error)) from error
         except TransportError as error:
             raise WorkerUnreachable(str(error)) from error
 
--- a/src/jaypier/scheduling/team_shares.py
+++ b/src/jaypier/scheduling/team_shares.py
@@ -116,16 +116,11 @@
                 self.uses[state.spec.team].arrivals += 1
         if self.is_contended:
             self.observe_service(cluster_state, total, elapsed)
-        is_reconciled = not cluster_state.unreconciled_workers
         self.observe_waiting(
             [
                 state
-                for state in jobs
-                if not state.status.is_final
-                and state.not_before <= now
-                and now - state.added_at <= WINDOW_SECONDS
-                and (is_reconciled or not state.is_recovered)
-                and state.spec.team not in limited
+                for state in cluster_state.startable_jobs(now)
+                if now - state.added_at <= WINDOW_SECONDS and state.spec.team not in limited
             ],
             total,
         )
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -7,7 +7,7 @@
 import h11
 
 from jaypier.core.address import Address
-from jaypier.wire.errors import BrokenExchange, ConnectError, ConnectionRefused, ExchangeTimeout
+from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -210,8 +210,7 @@
 
     :param timeout: time to wait for the connection, in seconds.
     :param max_body_bytes: maximum size of a response body, in bytes.
-    :raises ConnectionRefused: if no process listens at the address.
-    :raises ConnectError: if the connection is not established in time.
+    :raises ConnectError: if the connection is refused or is not established in time.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -219,8 +218,6 @@
             _, connection = await loop.create_connection(
                 lambda: ClientConnection(address, max_body_bytes), address.host, address.port
             )
-    except ConnectionRefusedError as error:
-        raise ConnectionRefused(f"cannot connect to {address}: {error}") from error
     except (OSError, TimeoutError) as error:
         raise ConnectError(f"cannot connect to {address}: {error or 'timed out'}") from error
     return connection
--- a/src/jaypier/wire/errors.py
+++ b/src/jaypier/wire/errors.py
@@ -22,10 +22,6 @@
         super().__init__(message, sent=False)
 
 
-class ConnectionRefused(ConnectError):
-    """No process listens at the address."""
-
-
 class ExchangeTimeout(TransportError):
     """The complete response did not arrive in time."""
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -31,11 +31,16 @@
     WorkerEntry,
     WorkerReport,
 )
-from jaypier.jobs.rows import cancel_key, decode_job_row, job_key
+from jaypier.jobs.rows import (
+    cancel_key,
+    decode_job_row,
+    decode_worker_record,
+    job_key,
+    worker_key,
+)
 from jaypier.jobs.worker_interface import (
     StaleEpoch,
     WorkerDirectory,
-    WorkerEnded,
     WorkerLink,
     WorkerListing,
     WorkerUnreachable,
@@ -388,6 +393,8 @@
     :param is_up: whether the worker is running.
     :param fails_all_runs: whether every run fails after 0.1 s.
     :param hangs: whether runs make no progress and never end by themselves.
+    :param refuses_when_cut_off: whether connections to it are refused at once while it is cut off,
+        instead of being left without an answer.
     :param late_request_probability: probability that a request times out and is executed later.
     :param guards_capacity: whether starts that do not fit are refused. A worker that does not guard
         its capacity starts whatever it is told to.
@@ -413,6 +420,7 @@
     is_up: bool = True
     fails_all_runs: bool = False
     hangs: bool = False
+    refuses_when_cut_off: bool = False
     late_request_probability: float = 0.0
     guards_capacity: bool = True
     report_count: int = 0
@@ -631,15 +639,14 @@
     async def call_worker(self, operation, *arguments):
         """Call an operation of the worker over the simulated network.
 
-        :raises WorkerEnded: if the worker is down and its machine can be reached.
         :raises WorkerUnreachable: if the worker or its response is lost, or the request times out;
             a request that times out is executed after 2 to 12 s.
         """
         await asyncio.sleep(WORKER_REQUEST_ROUND_TRIP_SECONDS / 2)
         if not self.is_reachable:
+            if self.worker.refuses_when_cut_off and not self.is_connected:
+                raise WorkerUnreachable("connection refused")
             await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
-            if self.is_connected and not self.worker.is_up:
-                raise WorkerEnded("connection refused")
             raise WorkerUnreachable("no response in time")
         if self.worker.cluster.rng.random() < self.worker.late_request_probability:
             delay = self.worker.cluster.rng.uniform(2.0, MAX_REQUEST_DELAY_SECONDS)
@@ -769,6 +776,7 @@
     :ivar runs: all runs by task, attempt and worker id.
     :ivar acknowledged_ends: number of the last acknowledged end of each worker.
     :ivar violations: violated invariants, each as a line of text.
+    :ivar has_leaders: whether leaders start the runs, so that the store has to tell of them.
     :ivar cancelled_at: time at which each job was cancelled, in seconds.
     :ivar team_limits: what each team may have running, without an entry or 0 for no limit.
     :ivar earlier_team_limits: limits before the current ones, each with the virtual time in seconds
@@ -807,6 +815,7 @@
         self.runs: dict[tuple[TaskId, int, str], RecordedRun] = {}
         self.acknowledged_ends: dict[str, int] = defaultdict(int)
         self.violations: list[str] = []
+        self.has_leaders = False
         self.cancelled_at: dict[str, float] = {}
         self.max_early_start_seconds = MAX_EARLY_START_SECONDS
         self.evacuated_at: dict[str, float] = {}
@@ -949,6 +958,7 @@
         self.check_capacity(worker, run, now)
         self.check_team_limit(run, now)
         self.check_single_start(run, now)
+        self.check_recorded(worker, run, now)
         for number in run.step.after:
             self.check_dependency(run, number, now)
         self.runs[(run.task, run.attempt, worker.entry.id)] = RecordedRun(
@@ -1041,6 +1051,17 @@
                 f"{now:.2f} {run.task} starts again, although its job is not repeatable"
             )
 
+    def check_recorded(self, worker: MemoryWorker, run: WorkerRun, now: float) -> None:
+        """Check that the store tells a later leader that a task may have a run on a worker."""
+        if not self.has_leaders:
+            return
+        row = self.store.rows.get(worker_key(worker.entry.id))
+        record = None if row is None else decode_worker_record(row.value)
+        if record is None or record.tasks is not None and run.task not in record.tasks:
+            self.violations.append(
+                f"{now:.2f} {run.task} starts on {worker.entry.id}, which is not recorded: {record}"
+            )
+
     def counts_as_done(self, run: RecordedRun) -> bool:
         """Whether the completion of a run has been acknowledged, or still must be.
 
