--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -485,6 +485,10 @@
         ]
         active = {(each.task, each.attempt) for each in report.active}
         worker.has_unknown_runs = not active <= worker.runs.keys()
+        if worker.has_unknown_runs:
+            # Whoever started them may have extended their lease just now.
+            lease_expires_at = now + self.longest_lease_seconds
+            worker.lease_expires_at = max(worker.lease_expires_at, lease_expires_at)
         # An end that is listed but not applied yet, or left out of a long list, says more.
         deferred = {
             (end.task, end.attempt)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -677,6 +677,29 @@
 
         run_scenario(scenario, lease_seconds=10.0)
 
+    def test_worker_with_unknown_runs_is_not_dropped_before_its_lease_has_ended(self):
+        # Regression (TWICE): a worker that had reported runs of a job that was not read yet was
+        # dropped once its entry had expired, and the job then started elsewhere.
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            leader = harness.leaders[harness.leader_name]
+            worker = harness.cluster.workers["worker-02"]
+            job = make_job(make_step(seconds=20.0))
+            harness.store.is_silent = True
+            harness.cluster.submit(job)
+            request = StartRequest(TaskId(job.id, 0, 0, 0), 1, job.payload, "", worker.clock + 6000)
+            assert worker.start(leader.epoch, request) is StartResponse.STARTED
+            await leader.sessions["worker-02"].renew_lease()
+            harness.cluster.cut_links |= {(name, "worker-02") for name in ("vm-a", "vm-b")}
+            leader.cluster_state.deregister_worker("worker-02", harness.clock.now())
+            await asyncio.sleep(0.5)
+            harness.store.is_silent = False
+            await asyncio.sleep(12.0)
+            await harness.wait_until(lambda: len(harness.cluster.runs) == 2, 1)
+
+        run_scenario(scenario)
+
 
 class TestElection:
     def test_daemons_that_start_after_an_outage_do_not_wait_for_the_last_leader(self):
