--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -6,8 +6,8 @@
 from jaypier.core.address import Address
 from jaypier.jobs.model import StartRequest, StartResponse, TaskId
 from jaypier.jobs.worker_interface import WorkerUnreachable
-from jaypier.platform.model import Row
-from jaypier.platform.workers import HttpWorkerLink, decode_worker
+from jaypier.platform.model import Changes, Row
+from jaypier.platform.workers import HttpWorkerLink, decode_listing, decode_worker
 from jaypier.wire.messages import HttpResponse
 
 ENTRY = {
@@ -62,6 +62,29 @@
     def test_malformed_entry_is_ignored(self, change):
         assert decode_worker(Row("servers/i-1", {**ENTRY, **change}, 3)) is None
 
+    @pytest.mark.parametrize("amount", ["Infinity", "-Infinity", "NaN", "1e999", "1e300", "-1"])
+    @pytest.mark.parametrize("field", ["Cpu", "MemMb", "Gpu"])
+    def test_entry_with_a_capacity_that_is_no_amount_is_ignored_beside_others(self, field, amount):
+        # Regression (LOST): an infinite capacity in one row ended every leadership.
+        capacity = json.loads(f'{{"Cpu": 1, "MemMb": 1, "Gpu": 1, "{field}": {amount}}}')
+        rows = [
+            Row("servers/i-1", ENTRY, 3),
+            Row("servers/inventory-7", {**ENTRY, "Capacity": capacity}, 4),
+        ]
+        listing = decode_listing(Changes(rows, 4))
+        assert listing.entries["inventory-7"] is None
+        assert listing.entries["i-1"] == decode_worker(rows[0])
+
+    @pytest.mark.parametrize("field", ["born", "ClockMs", "RemainingMs"])
+    @pytest.mark.parametrize("value", [float("inf"), float("nan"), 1e300, True, "soon", None, []])
+    def test_entry_with_a_time_that_is_no_number_is_ignored(self, field, value):
+        assert decode_worker(Row("servers/i-1", {**ENTRY, field: value}, 3)) is None
+
+    @pytest.mark.parametrize("field", ["Service", "Zone", "Machine"])
+    def test_entry_with_a_text_that_cannot_be_stored_is_ignored(self, field):
+        assert decode_worker(Row("servers/i-1", {**ENTRY, field: "desk\ud800"}, 3)) is None
+        assert decode_worker(Row("servers/i-1", {**ENTRY, "Labels": ["a", "\ud800"]}, 3)) is None
+
     @pytest.mark.parametrize("value", [None, [], "text", 7, {}])
     def test_entry_that_is_not_a_worker_object_is_ignored(self, value):
         assert decode_worker(Row("servers/i-1", value, 3)) is None
@@ -78,6 +101,9 @@
             {"Active": [["job.0.0.0", 1, "", []]]},
             {"Active": [[7, 1, "", 0]]},
             {"Active": [["job.0.0", 1, "", 0]]},
+            {"Active": [["job.0.0.0", 1, "\ud800", 0]]},
+            {"Active": [["job.0.0.0", 1, ["saved"], 0]]},
+            {"Finished": [[1, "job.0.0.0", 1, "done", "\ud800"]]},
             {"Finished": {"a": 1}},
             {"Finished": [[1, "job.0.0.0", 1, "vanished", ""]]},
             {"Finished": [[1, "job.0.0.0", 1, ["done"], ""]]},
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -3,6 +3,8 @@
 import json
 from typing import Any
 
+import structlog
+
 from jaypier.core.address import Address
 from jaypier.jobs.model import (
     DEFAULT_DRAIN_SECONDS,
@@ -40,6 +42,9 @@
 MAX_IDLE_SECONDS = 30.0
 """Idle time after which a connection is not reused; opening one to a worker is expensive."""
 
+MAX_INTEGER = 1 << 53
+"""Largest magnitude of a number in an entry: up to it, JSON numbers are exact in all languages."""
+
 RUN_OUTCOMES = {
     "done": RunOutcome.DONE,
     "failed": RunOutcome.FAILED,
@@ -56,6 +61,8 @@
     "room": StartResponse.NO_ROOM,
 }
 
+log = structlog.get_logger()
+
 
 class StoreWorkerDirectory(TableSource[WorkerListing]):
     """The workers that are registered in the store.
@@ -64,10 +71,11 @@
     """
 
     def __init__(self, table: WatchableTable) -> None:
-        super().__init__(table, WORKERS_TABLE, _decode_listing)
+        super().__init__(table, WORKERS_TABLE, decode_listing)
 
 
-def _decode_listing(changes: Changes) -> WorkerListing:
+def decode_listing(changes: Changes) -> WorkerListing:
+    """Decode rows of workers; one that does not describe a usable worker hides no other."""
     entries = {row.name: decode_worker(row) for row in changes.rows}
     return WorkerListing(entries, changes.version)
 
@@ -75,6 +83,8 @@
 def decode_worker(row: Row) -> WorkerEntry | None:
     """Decode a worker's entry; return ``None`` if it does not describe a usable worker."""
     entry = row.value
+    if entry is None:
+        return None
     try:
         capacity, labels = entry["Capacity"], entry["Labels"]
         state = entry["State"]
@@ -88,9 +98,9 @@
             rack=_decode_string(labels[1]) if len(labels) > 1 else "",
             labels=frozenset(_decode_string(label) for label in labels),
             capacity=Resources(
-                _decode_integer(capacity["Cpu"]),
-                _decode_integer(capacity["MemMb"]),
-                _decode_integer(capacity["Gpu"]),
+                _decode_integer(capacity["Cpu"], minimum=0),
+                _decode_integer(capacity["MemMb"], minimum=0),
+                _decode_integer(capacity["Gpu"], minimum=0),
             ),
             is_ready=state == "ready",
             born=_decode_integer(entry.get("born", 0)),
@@ -101,19 +111,25 @@
             / 1000,
             machine=_decode_string(entry.get("Machine", "")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        log.warning("worker entry left out: cannot be decoded", key=row.key, reason=repr(error))
         return None
 
 
 def _decode_string(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f"expected a string, got {value!r}")
+    # Raises UnicodeEncodeError, a ValueError, for a text that could not be stored again.
+    value.encode()
     return value
 
 
-def _decode_integer(value: Any) -> int:
+def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
+    # NaN fails every comparison.
+    if not minimum <= value <= MAX_INTEGER:
+        raise ValueError(f"expected a number from {minimum} to {MAX_INTEGER}, got {value!r}")
     return int(value)
 
 
@@ -210,7 +226,7 @@
 def _decode_body(response: HttpResponse) -> dict[str, Any]:
     try:
         body = json.loads(response.body) if response.body else {}
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WorkerUnreachable(f"worker sent a response that is not JSON: {error}") from error
     return body if isinstance(body, dict) else {}
 
@@ -227,11 +243,17 @@
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     active = tuple(
-        ActiveRun(TaskId.parse(row[0]), int(row[1]), row[2] or "", float(row[3]))
+        ActiveRun(TaskId.parse(row[0]), int(row[1]), _decode_string(row[2] or ""), float(row[3]))
         for row in body["Active"]
     )
     ended = tuple(
-        EndedRun(int(row[0]), TaskId.parse(row[1]), int(row[2]), RUN_OUTCOMES[row[3]], row[4] or "")
+        EndedRun(
+            int(row[0]),
+            TaskId.parse(row[1]),
+            int(row[2]),
+            RUN_OUTCOMES[row[3]],
+            _decode_string(row[4] or ""),
+        )
         for row in body["Finished"]
     )
     return WorkerReport(int(body.get("born", 0)), int(body["ClockMs"]), active, ended)
