--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -131,7 +131,8 @@
     """Decode stored values; log and leave out each that cannot be decoded.
 
     :param values: keys and values; deleted rows, whose value is ``None``, are left out.
-    :param decode: raises ``DecodeError`` or ``ValueError`` for an invalid value.
+    :param decode: raises an exception for an invalid value. Any is accepted: a value of another
+        writer may fail in ways that the decoder does not foresee, and must not hide the others.
     :returns: keys and decoded values.
     """
     for key, value in values:
@@ -139,7 +140,7 @@
             continue
         try:
             decoded = decode(value)
-        except (DecodeError, ValueError) as error:
-            log.error("row left out: cannot be decoded", key=key, reason=str(error))
+        except Exception as error:
+            log.error("row left out: cannot be decoded", key=key, reason=str(error) or repr(error))
             continue
         yield key, decoded
--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -265,12 +265,12 @@
         worker = self.workers.get(entry.id)
         if worker is None:
             worker = Worker(entry, born=entry.born, clock=entry.clock, clock_read_at=now)
-            self.workers[entry.id] = worker
         worker.update_entry(entry, now)
         worker.is_registered = True
         self.speeds.observe_registration(worker)
         if not entry.is_ready:
             self.crashes.observe_draining(worker)
+        self.workers[entry.id] = worker
         return worker
 
     def is_capacity_known(self, worker: Worker, now: float) -> bool:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -1,9 +1,10 @@
 """The leading daemon: schedules jobs on workers and has their progress recorded in the store."""
 
 import asyncio
+import contextlib
 import itertools
 import math
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -18,7 +19,7 @@
 from jaypier.jobs.draining import mark_draining_runs
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
 from jaypier.jobs.learned import LEARNED_KEY, LearnedState
-from jaypier.jobs.model import StartRequest, StartResponse, TaskId, WorkerEntry
+from jaypier.jobs.model import Job, StartRequest, StartResponse, TaskId, WorkerEntry
 from jaypier.jobs.planning import Planner
 from jaypier.jobs.progress_writer import ProgressWriter, SavedWorker
 from jaypier.jobs.rows import (
@@ -26,8 +27,11 @@
     PROGRESS_TABLE,
     RECORDED_WORKERS_TABLE,
     JobChanges,
+    WorkerRecord,
+    cancel_key,
     decode_job_rows,
     decode_worker_record,
+    job_key,
     restore_jobs,
 )
 from jaypier.jobs.session import WorkerSession
@@ -244,8 +248,9 @@
                 # early.
                 state.ended_at = self.clock.now()
             state.is_recovered = changes.versions[state.spec.id] <= self.writer.elected_version
-            self.cluster_state.insert_job(state)
-            self.observe_job(state)
+            with self.contain_job(state.spec.id):
+                self.cluster_state.insert_job(state)
+                self.observe_job(state)
         self.observe_refusals(changes)
         self.unreadable_jobs = {job.id for job in changes.accepted} - self.cluster_state.jobs.keys()
         self.jobs_version = jobs.version
@@ -271,19 +276,51 @@
         changes = await self.table.snapshot(RECORDED_WORKERS_TABLE)
         now = self.clock.now()
         values = ((row.key, row.value) for row in changes.rows)
-        for _, record in decode_valid(values, decode_worker_record):
-            worker_id = record.entry.id
-            self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
-            if worker_id not in self.cluster_state.workers:
-                self.apply_entry(record.entry, now, changes.version)
-                self.cluster_state.deregister_worker(worker_id, now)
-                log.info(
-                    "deregistered worker restored",
-                    worker=worker_id,
-                    tasks=None if record.tasks is None else len(record.tasks),
-                )
-            worker = self.cluster_state.workers[worker_id]
-            self.cluster_state.restore_recorded_tasks(worker, record.tasks)
+        for key, record in decode_valid(values, decode_worker_record):
+            with self.contain_row(key):
+                self.restore_recorded_worker(record, now, changes.version)
+
+    def restore_recorded_worker(self, record: WorkerRecord, now: float, version: int) -> None:
+        """Add a worker that earlier leaders used, and the tasks that may have runs on it.
+
+        :param now: time on the local clock, in seconds.
+        :param version: version of the store from which the record was read, for the log.
+        """
+        worker_id = record.entry.id
+        self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
+        if worker_id not in self.cluster_state.workers:
+            self.apply_entry(record.entry, now, version)
+            self.cluster_state.deregister_worker(worker_id, now)
+            log.info(
+                "deregistered worker restored",
+                worker=worker_id,
+                tasks=None if record.tasks is None else len(record.tasks),
+            )
+        worker = self.cluster_state.workers[worker_id]
+        self.cluster_state.restore_recorded_tasks(worker, record.tasks)
+
+    @contextlib.contextmanager
+    def contain_row(self, key: str) -> Iterator[None]:
+        """Log and count an unexpected error about one row, which must not end the leadership.
+
+        Whatever brings it about, the next leader would read the same row.
+        """
+        try:
+            yield
+        except Exception as error:
+            self.metrics.count("leader.rows_left_out")
+            log.error("row left out: cannot be applied", key=key, exc_info=error)
+
+    @contextlib.contextmanager
+    def contain_job(self, job_id: str) -> Iterator[None]:
+        """Leave a job alone if its row cannot be applied; see :meth:`contain_row`."""
+        with self.contain_row(job_key(job_id)):
+            try:
+                yield
+            except Exception:
+                self.unreadable_jobs.add(job_id)
+                self.cluster_state.jobs.pop(job_id, None)
+                raise
 
     def summarize_load(self) -> LoadSummary | None:
         """Return the load of the overloaded pools, ``None`` if there are none or it is unknown."""
@@ -341,32 +378,44 @@
         for job in changes.accepted:
             if job.id in self.unreadable_jobs:
                 continue
-            stored_at = changes.versions[job.id]
-            may_have_started = stored_at <= self.writer.elected_version
-            state = self.cluster_state.add_job(job, may_have_started)
-            if state is not None:
-                self.await_confirmation(state, stored_at)
-                self.wake_unreconciled_workers()
-                self.observe_job(state)
-                log.info(
-                    "job added",
-                    job=job.id,
-                    priority=job.priority,
-                    tasks=sum(step.count for step in job.steps),
-                    accelerators=max(step.count * step.demand.accelerators for step in job.steps),
-                    chain_seconds=job.critical_path_seconds(),
-                    objective_seconds=job.objective_seconds,
-                    version=version,
-                )
+            with self.contain_job(job.id):
+                self.add_job(job, changes.versions[job.id], version)
         for job_id in changes.cancelled:
             if job_id not in self.cluster_state.cancelled:
-                runs = self.cluster_state.cancel_job(job_id)
-                log.info("job cancellation requested", job=job_id, runs=len(runs), version=version)
-                self.stop_runs(runs, "cancelled")
+                with self.contain_row(cancel_key(job_id)):
+                    runs = self.cluster_state.cancel_job(job_id)
+                    log.info(
+                        "job cancellation requested", job=job_id, runs=len(runs), version=version
+                    )
+                    self.stop_runs(runs, "cancelled")
         self.jobs_version = max(self.jobs_version, changes.version)
         if rows:
             self.scheduling_requested.set()
 
+    def add_job(self, job: Job, stored_at: int, version: int) -> None:
+        """Add an accepted job, unless it is known.
+
+        :param stored_at: version of the job's row.
+        :param version: version of the store up to which rows were read, for the log.
+        """
+        may_have_started = stored_at <= self.writer.elected_version
+        state = self.cluster_state.add_job(job, may_have_started)
+        if state is None:
+            return
+        self.await_confirmation(state, stored_at)
+        self.wake_unreconciled_workers()
+        self.observe_job(state)
+        log.info(
+            "job added",
+            job=job.id,
+            priority=job.priority,
+            tasks=sum(step.count for step in job.steps),
+            accelerators=max(step.count * step.demand.accelerators for step in job.steps),
+            chain_seconds=job.critical_path_seconds(),
+            objective_seconds=job.objective_seconds,
+            version=version,
+        )
+
     def await_confirmation(self, state: JobState, version: int) -> None:
         """Let a new job wait for the store if another leader may have been elected before it.
 
@@ -466,9 +515,10 @@
                 log.info("worker deregistered", worker=worker_id, version=listing.version)
                 self.cluster_state.deregister_worker(worker_id, now)
                 self.progress_writer.write_requested.set()
-        for entry in listing.entries.values():
+        for worker_id, entry in listing.entries.items():
             if entry is not None:
-                self.apply_entry(entry, now, listing.version)
+                with self.contain_row(worker_id):
+                    self.apply_entry(entry, now, listing.version)
         self.workers_version = max(self.workers_version, listing.version)
         self.scheduling_requested.set()
 
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -110,14 +110,12 @@
     cancelled = [
         row.name.removesuffix(CANCEL_SUFFIX) for row in present if row.name.endswith(CANCEL_SUFFIX)
     ]
-    refusals = {row.name: row.version for row in present if decode_refusal(row.value) is not None}
-    jobs = [
-        (row.key, row.value)
-        for row in present
-        if not row.name.endswith(CANCEL_SUFFIX) and row.name not in refusals
-    ]
-    accepted = [job for key, job in decode_valid(jobs, decode_job) if key == job_key(job.id)]
     versions = {row.name: row.version for row in present}
+    others = [(row.key, row.value) for row in present if not row.name.endswith(CANCEL_SUFFIX)]
+    decoded = list(decode_valid(others, decode_job_or_refusal))
+    accepted = [job for key, job in decoded if isinstance(job, Job) and key == job_key(job.id)]
+    names = [key.partition("/")[2] for key, each in decoded if isinstance(each, Refusal)]
+    refusals = {name: versions[name] for name in names}
     return JobChanges(accepted, cancelled, version, refusals, versions)
 
 
@@ -129,6 +127,14 @@
     return from_plain(value, Job)
 
 
+def decode_job_or_refusal(value: Any) -> Job | Refusal:
+    """Decode the value of a row ``jobs/ID``.
+
+    :raises DecodeError: when it is neither.
+    """
+    return decode_refusal(value) or decode_job(value)
+
+
 def decode_job_row(row: Row) -> Job:
     """Decode the row of an accepted job."""
     return decode_job(row.value)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import math
 
 import attrs
 import pytest
@@ -7,6 +8,7 @@
 from jaypier.jobs.contained_planning import SET_ASIDE_SECONDS
 from jaypier.jobs.election import LEADER_KEY
 from jaypier.jobs.leader import REPORT_MAX_AGE_SECONDS, START_TIMEOUT_SECONDS
+from jaypier.jobs.learned import LEARNED_KEY
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
 from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
@@ -273,6 +275,79 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize(
+        "key, value",
+        [
+            ("jobs/00000000000000fd", {"refused_at": "yesterday"}),
+            ("jobs/00000000000000fd", {"refused_at": []}),
+            ("jobs/00000000000000fd-cancel", None),
+            ("jobs/00000000000000fd", math.inf),
+            ("progress/00000000000000fd", [None]),
+            ("workers/worker-99", "lost"),
+            ("workers/worker-99", {"tasks": 7}),
+            (LEARNED_KEY, [7]),
+        ],
+    )
+    def test_row_of_another_writer_ends_no_leadership(self, key, value):
+        # Regression (LOST): one row that could not be decoded ended every leadership.
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            harness.store.apply(Transaction(puts=[Put(key, value)]))
+            first, second = make_job(), make_job()
+            harness.cluster.submit(first)
+            await harness.wait_status(first, JobStatus.COMPLETED, 8)
+            assert harness.leaders[harness.leader_name] is leader
+            await harness.kill(harness.leader_name)
+            harness.cluster.submit(second)
+            await harness.wait_status(second, JobStatus.COMPLETED, 8)
+
+        run_scenario(scenario)
+
+    def test_entry_that_cannot_be_applied_leaves_out_that_worker_alone(self):
+        # Regression (LOST): an unexpected error about one worker's entry ended every leadership.
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            odd = attrs.evolve(harness.cluster.workers["worker-00"].entry, id="odd", capacity=None)
+            harness.cluster.announced_entries["odd"] = odd
+            harness.store.apply(Transaction(puts=[Put("servers/odd", {})]))
+            first, second = make_job(), make_job()
+            await asyncio.sleep(1.0)
+            harness.cluster.submit(first)
+            await harness.wait_status(first, JobStatus.COMPLETED, 8)
+            assert harness.leaders[harness.leader_name] is leader
+            assert leader.metrics.counters["leader.rows_left_out"] > 0
+            await harness.kill(harness.leader_name)
+            harness.cluster.submit(second)
+            await harness.wait_status(second, JobStatus.COMPLETED, 8)
+
+        run_scenario(scenario)
+
+    def test_job_that_cannot_be_applied_is_left_alone_beside_others(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            odd, job = make_job(), make_job()
+            expect = leader.cluster_state.durations.expect
+
+            def fail_for_odd(steps):
+                if steps[0].job.spec.id == odd.id:
+                    raise OverflowError("odd job")
+                expect(steps)
+
+            leader.cluster_state.durations.expect = fail_for_odd
+            harness.cluster.submit(odd)
+            harness.cluster.submit(job)
+            await harness.wait_status(job, JobStatus.COMPLETED, 8)
+            assert harness.leaders[harness.leader_name] is leader
+            assert count_runs(harness, odd) == 0
+            assert leader.metrics.counters["leader.rows_left_out"] == 1
+            await harness.kill(harness.leader_name)
+            await harness.wait_status(odd, JobStatus.COMPLETED, 8)
+
+        run_scenario(scenario)
+
     def test_job_with_unreadable_progress_is_left_alone_beside_others(self):
         async def scenario(harness):
             job, other = make_job(), make_job(make_step(seconds=6.0))
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -3,9 +3,8 @@
 import json
 from typing import Any
 
-import structlog
-
 from jaypier.core.address import Address
+from jaypier.core.codec import decode_valid
 from jaypier.jobs.model import (
     DEFAULT_DRAIN_SECONDS,
     ActiveRun,
@@ -61,8 +60,6 @@
     "room": StartResponse.NO_ROOM,
 }
 
-log = structlog.get_logger()
-
 
 class StoreWorkerDirectory(TableSource[WorkerListing]):
     """The workers that are registered in the store.
@@ -82,38 +79,35 @@
 
 def decode_worker(row: Row) -> WorkerEntry | None:
     """Decode a worker's entry; return ``None`` if it does not describe a usable worker."""
-    entry = row.value
-    if entry is None:
-        return None
-    try:
-        capacity, labels = entry["Capacity"], entry["Labels"]
-        state = entry["State"]
-        if state not in ("ready", "draining"):
-            return None
-        return WorkerEntry(
-            id=row.name,
-            service=_decode_string(entry["Service"]),
-            address=Address.parse(_decode_string(entry["Address"])),
-            data_centre=_decode_string(entry["Zone"]),
-            rack=_decode_string(labels[1]) if len(labels) > 1 else "",
-            labels=frozenset(_decode_string(label) for label in labels),
-            capacity=Resources(
-                _decode_integer(capacity["Cpu"], minimum=0),
-                _decode_integer(capacity["MemMb"], minimum=0),
-                _decode_integer(capacity["Gpu"], minimum=0),
-            ),
-            is_ready=state == "ready",
-            born=_decode_integer(entry.get("born", 0)),
-            clock=_decode_integer(entry.get("ClockMs", 0)),
-            remaining_seconds=_decode_integer(
-                entry.get("RemainingMs", DEFAULT_DRAIN_SECONDS * 1000)
-            )
-            / 1000,
-            machine=_decode_string(entry.get("Machine", "")),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        log.warning("worker entry left out: cannot be decoded", key=row.key, reason=repr(error))
-        return None
+    rows = [(row.key, row.value)]
+    decoded = decode_valid(rows, lambda entry: _decode_entry(row.name, entry))
+    return next((entry for _, entry in decoded), None)
+
+
+def _decode_entry(worker_id: str, entry: dict[str, Any]) -> WorkerEntry:
+    capacity, labels = entry["Capacity"], entry["Labels"]
+    state = entry["State"]
+    if state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {state!r}")
+    remaining_millis = entry.get("RemainingMs", DEFAULT_DRAIN_SECONDS * 1000)
+    return WorkerEntry(
+        id=worker_id,
+        service=_decode_string(entry["Service"]),
+        address=Address.parse(_decode_string(entry["Address"])),
+        data_centre=_decode_string(entry["Zone"]),
+        rack=_decode_string(labels[1]) if len(labels) > 1 else "",
+        labels=frozenset(_decode_string(label) for label in labels),
+        capacity=Resources(
+            _decode_integer(capacity["Cpu"], minimum=0),
+            _decode_integer(capacity["MemMb"], minimum=0),
+            _decode_integer(capacity["Gpu"], minimum=0),
+        ),
+        is_ready=state == "ready",
+        born=_decode_integer(entry.get("born", 0)),
+        clock=_decode_integer(entry.get("ClockMs", 0)),
+        remaining_seconds=_decode_integer(remaining_millis) / 1000,
+        machine=_decode_string(entry.get("Machine", "")),
+    )
 
 
 def _decode_string(value: Any) -> str:
