--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP interface of callers: submit a job, get its state, cancel it, count pending jobs."""
 
 import asyncio
+import math
 import random
 import re
 import time
@@ -199,7 +200,8 @@
             except JobTooLarge as error:
                 return error_response(413, str(error))
             except JobRefused as error:
-                return error_response(429, str(error), self.retry_after)
+                retry_after = max(self.retry_after, math.ceil(error.seconds))
+                return error_response(429, str(error), retry_after)
             return error_response(409, f"another job has the identity {job.id}")
 
         excess = explain_excess(job.team, job.steps, self.watcher.configuration.limit_of(job.team))
@@ -210,7 +212,7 @@
         )
 
         async def refuse(call: Call) -> HttpResponse:
-            accepted = await self.jobs.refuse(job)
+            accepted = await self.jobs.refuse(job.id)
             if accepted is not None:
                 return self.respond_to_resubmission(job, accepted)
             self.metrics.count("front.over_team_limit" if excess else "front.overload_refusals")
@@ -308,8 +310,14 @@
         return state_response(JobStatus.QUEUED)
 
     async def cancel(self, call: Call) -> HttpResponse:
-        """Store a cancellation request for a job of the caller's team."""
-        job = await self.jobs.find(call.job_id)
+        """Store a cancellation request for a job of the caller's team.
+
+        A job that is not stored yet cannot be stored any more by a request that is under way.
+        """
+        job = await self.jobs.find_or_refuse(call.job_id)
+        if job is None:
+            self.metrics.count("front.unknown_cancellations")
+            log.info("unknown job cancelled", job=call.job_id, queue=call.route.queue)
         if job is None or job.queue != call.route.queue:
             return error_response(410, f"no job {call.job_id}")
         if job.team != call.team:
--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -9,13 +9,14 @@
 from jaypier.entry.caller_api import CallerApi
 from jaypier.entry.watcher import ConfigurationWatcher
 from jaypier.jobs.rows import (
+    CANCELLATION_GUARD_SECONDS,
     JobRefused,
     JobTable,
     decode_job_row,
     decode_job_rows,
     decode_refusal,
 )
-from jaypier.platform import Condition, ConditionFailed, Put, Transaction
+from jaypier.platform import Condition, ConditionFailed, PlatformUnavailable, Put, Transaction
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.wire.messages import HttpRequest
@@ -379,6 +380,99 @@
         run_scenario(scenario)
 
 
+class TestCancellationOfUnknownJobs:
+    """The answer "no such job" to a cancellation holds for requests that are still under way."""
+
+    async def cancel(self, harness, job: str = JOB):
+        return await harness.call("DELETE", f"/common/{job}")
+
+    async def delayed_write(self, harness) -> Transaction:
+        """Return the write of a request for a job that the store carries out late."""
+        await harness.submit("f" * 16)
+        value = {**harness.store.rows["jobs/" + "f" * 16].value, "id": JOB}
+        return Transaction([Condition(f"jobs/{JOB}", 0)], [Put(f"jobs/{JOB}", value)])
+
+    def test_delayed_write_of_the_job_has_no_effect(self):
+        # Regression (UNASKED): a job ran after its cancellation had been answered with 410, as the
+        # store carried out the write of its submission late.
+        async def scenario(harness):
+            delayed = await self.delayed_write(harness)
+            assert (await self.cancel(harness)).status == 410
+            with pytest.raises(ConditionFailed):
+                await harness.store.commit(delayed)
+            assert await harness.state() == 410
+
+        run_scenario(scenario)
+
+    def test_delayed_write_over_an_earlier_refusal_has_no_effect(self):
+        async def scenario(harness):
+            delayed = await self.delayed_write(harness)
+            harness.admission = Admission(True, "expected wait too long", 30.0, 2.0, 0.5, 7)
+            await harness.submit()
+            version = harness.store.rows[f"jobs/{JOB}"].version
+            await asyncio.sleep(1.0)
+            delayed = Transaction([Condition(f"jobs/{JOB}", version)], delayed.puts)
+            assert (await self.cancel(harness)).status == 410
+            with pytest.raises(ConditionFailed):
+                await harness.store.commit(delayed)
+
+        run_scenario(scenario)
+
+    def test_request_that_arrives_soon_after_is_refused_and_a_later_one_is_accepted(self):
+        async def scenario(harness):
+            assert (await self.cancel(harness)).status == 410
+            await asyncio.sleep(CANCELLATION_GUARD_SECONDS / 2)
+            response = await harness.submit()
+            assert response.status == 429
+            seconds = int(dict(response.headers)[b"retry-after"])
+            assert 1 < seconds <= CANCELLATION_GUARD_SECONDS
+            await asyncio.sleep(seconds)
+            assert (await harness.submit()).status == 200
+            assert await harness.state() == "queued"
+
+        run_scenario(scenario)
+
+    def test_job_that_is_stored_meanwhile_is_cancelled(self):
+        async def scenario(harness):
+            delayed = await self.delayed_write(harness)
+            commit = harness.store.commit
+
+            async def commit_after_delayed_write(transaction):
+                harness.store.commit = commit
+                await commit(delayed)
+                return await commit(transaction)
+
+            harness.store.commit = commit_after_delayed_write
+            assert (await self.cancel(harness)).status == 200
+            assert f"jobs/{JOB}-cancel" in harness.store.rows
+
+        run_scenario(scenario)
+
+    def test_repeated_cancellation_writes_nothing(self):
+        async def scenario(harness):
+            await self.cancel(harness)
+            version = harness.store.version
+            for _ in range(5):
+                assert (await self.cancel(harness)).status == 410
+            assert harness.store.version == version
+
+        run_scenario(scenario)
+
+    def test_no_answer_is_final_while_the_store_does_not_answer(self):
+        async def scenario(harness):
+            harness.store.is_down = True
+            assert (await self.cancel(harness)).status == 503
+            harness.store.is_down = False
+
+            async def commit_without_effect(transaction):
+                raise PlatformUnavailable("store: no answer", effect_unknown=True)
+
+            harness.store.commit = commit_without_effect
+            assert (await self.cancel(harness)).status == 504
+
+        run_scenario(scenario)
+
+
 class TestOverload:
     """A refusal says that a job never runs, so no request for it may store it afterwards."""
 
@@ -481,14 +575,14 @@
             harness.admission = self.REFUSED
             await harness.submit()
             version = harness.store.rows[key].version
-            await table.forget_refusal(JOB, version)
+            await table.forget_refusals({JOB: version})
             assert await table.find(JOB) is None
             await harness.submit()
             version = harness.store.rows[key].version
             harness.admission = ACCEPTED
             await asyncio.sleep(1.0)
             await harness.submit()
-            await table.forget_refusal(JOB, version)
+            await table.forget_refusals({JOB: version})
             assert await harness.state() == "queued"
 
         run_scenario(scenario)
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -35,6 +35,9 @@
 MAX_JOBS_PER_WRITE = 60
 """Progress rows of one write; leaves room for rows of workers and the numbers of queued jobs."""
 
+MAX_REFUSALS_PER_WRITE = 40
+"""Rows of refusals deleted by one write, which has a condition and a deletion for each."""
+
 LEARNED_ROWS = 1
 """Rows of one write that are left for what the leader has learned."""
 
@@ -284,22 +287,28 @@
                 self.leader.scheduling_requested.set()
 
     async def delete_refusals(self) -> None:
-        """Delete one row of a refusal whose retention time is over.
+        """Delete the rows of refusals whose retention time is over, some at a time.
 
         A request that arrived before the refusal cannot be in progress any more by then.
         """
         leader = self.leader
         cutoff = leader.clock.now() - leader.settings.status_seconds - RETENTION_MARGIN_SECONDS
-        expired = ((each, at) for each, at in leader.refusals.items() if at[1] < cutoff)
-        job_id, (version, _) = next(expired, ("", (0, 0.0)))
-        if not job_id:
+        expired = (
+            (job_id, version)
+            for job_id, (version, read_at) in leader.refusals.items()
+            if read_at < cutoff
+        )
+        versions = dict(itertools.islice(expired, MAX_REFUSALS_PER_WRITE))
+        if not versions:
             return
         try:
-            await JobTable(leader.table).forget_refusal(job_id, version)
+            await JobTable(leader.table).forget_refusals(versions)
         except PlatformUnavailable as error:
-            log.debug("refusal not deleted", job=job_id, reason=str(error))
+            log.debug("refusals not deleted", jobs=len(versions), reason=str(error))
             return
-        leader.refusals.pop(job_id, None)
+        for job_id, version in versions.items():
+            if job_id in leader.refusals and leader.refusals[job_id][0] == version:
+                del leader.refusals[job_id]
 
     async def delete_expired_jobs(self) -> None:
         """Delete the rows of jobs whose retention time is over; each job has up to three rows."""
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -7,9 +7,8 @@
 worker and which may have runs there.
 """
 
-import contextlib
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -60,19 +59,34 @@
     return f"{RECORDED_WORKERS_TABLE}/{worker_id}"
 
 
+CANCELLATION_GUARD_SECONDS = 10.0
+"""Time after the cancellation of a job that is not stored in which requests with its id count as
+sent before it: longer than callers wait for a response, and than the store delays a write."""
+
+
 class JobTooLarge(JaypierError):
     """A job was not accepted because its encoding exceeds the longest row of the store."""
 
 
 class JobRefused(JaypierError):
-    """A job was refused at another VM while this request for it was being served."""
+    """A job was refused, or its id cancelled, while this request for it was under way.
+
+    :param seconds: time after which a new request with the id is accepted.
+    """
+
+    def __init__(self, message: str, seconds: float) -> None:
+        super().__init__(message)
+        self.seconds = seconds
 
 
 @attrs.frozen
 class Refusal:
-    """Value of the row ``jobs/ID`` of a job that was refused and never runs.
+    """Value of the row ``jobs/ID`` of a job that was refused, or cancelled without being stored.
 
-    :param refused_at: time by the store's clock, in seconds.
+    It keeps requests for the job that are under way, and their writes, from taking effect.
+
+    :param refused_at: time by the store's clock, in seconds, up to which requests with the id are
+        refused: that of the refusal, or later after a cancellation.
     """
 
     refused_at: float
@@ -234,31 +248,52 @@
             refusal = None if row is None else decode_refusal(row.value)
             if refusal is None:
                 return row is not None and decode_job_row(row).is_same_request(job)
-            if received_at < refusal.refused_at + REFUSAL_MARGIN_SECONDS:
-                raise JobRefused(f"job {job.id} was refused at {refusal.refused_at}")
+            accepted_from = refusal.refused_at + REFUSAL_MARGIN_SECONDS
+            if received_at < accepted_from:
+                raise JobRefused(
+                    f"not run: job {job.id} was refused or cancelled meanwhile",
+                    accepted_from - self.table.store_time(),
+                )
         self.on_stored(Row(key, value, version))
         return True
 
-    async def refuse(self, job: Job) -> Job | None:
+    async def refuse(self, job_id: str, row: Row | None = None, seconds: float = 0.0) -> Job | None:
         """Store that a job is refused, unless it has been accepted.
 
         Requests with its id that are still being served, here or at another VM, then cannot store
         the job any more.
 
+        :param row: row of the job as far as it is known.
+        :param seconds: time from now for which new requests with the id are refused as well.
         :returns: the accepted job with its id; ``None`` if it is refused.
         :raises PlatformUnavailable: when the store does not answer.
         """
-        key = job_key(job.id)
-        row: Row | None = None
+        key = job_key(job_id)
         while True:
             try:
-                await self.replace(key, row, to_compact(Refusal(self.table.store_time())))
+                refusal = Refusal(self.table.store_time() + seconds)
+                await self.replace(key, row, to_compact(refusal))
                 return None
             except ConditionFailed as error:
                 row = error.current_rows.get(key) or await self.table.read(key)
             if row is not None and decode_refusal(row.value) is None:
                 return decode_job_row(row)
 
+    async def find_or_refuse(self, job_id: str) -> Job | None:
+        """Return an accepted job; if it is not stored, refuse requests for it that are under way.
+
+        Nothing is written if such requests are refused already.
+
+        :raises PlatformUnavailable: when the store does not answer.
+        """
+        row = await self.table.read(job_key(job_id))
+        refusal = None if row is None else decode_refusal(row.value)
+        if row is not None and refusal is None:
+            return None if row.value is None else decode_job_row(row)
+        if refusal is not None and refusal.refused_at >= self.table.store_time():
+            return None
+        return await self.refuse(job_id, row, CANCELLATION_GUARD_SECONDS)
+
     async def replace(self, key: str, row: Row | None, value: Any) -> int:
         """Write a row if the store still contains ``row``, or none; return the new version.
 
@@ -267,14 +302,22 @@
         condition = Condition(key, 0 if row is None else row.version)
         return await self.table.commit(Transaction([condition], [Put(key, value)]))
 
-    async def forget_refusal(self, job_id: str, version: int) -> None:
-        """Delete the row of a refusal unless it has changed since.
+    async def forget_refusals(self, versions: Mapping[str, int]) -> None:
+        """Delete the rows of refusals, but for those that have changed since.
 
+        :param versions: version of the row of each refusal, by id of the job.
         :raises PlatformUnavailable: when the store does not answer.
         """
-        key = job_key(job_id)
-        with contextlib.suppress(ConditionFailed):
-            await self.table.commit(Transaction([Condition(key, version)], [], [key]))
+        conditions = [Condition(job_key(job_id), version) for job_id, version in versions.items()]
+        while conditions:
+            keys = [condition.key for condition in conditions]
+            try:
+                await self.table.commit(Transaction(conditions, [], keys))
+                return
+            except ConditionFailed as error:
+                current = {row.key: row.version for row in error.current_rows.values()}
+            unchanged = [each for each in conditions if current.get(each.key) == each.version]
+            conditions = unchanged if len(unchanged) < len(conditions) else []
 
     async def find(self, job_id: str) -> Job | None:
         """Return an accepted job, or ``None`` when it is not stored.
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -918,7 +918,7 @@
         async def scenario(harness):
             await harness.wait_until(lambda: harness.leader_name is not None, 5)
             job = make_job()
-            assert await JobTable(harness.store).refuse(job) is None
+            assert await JobTable(harness.store).refuse(job.id) is None
             await asyncio.sleep(60.0)
             assert job_key(job.id) in harness.store.rows
             await harness.wait_until(lambda: job_key(job.id) not in harness.store.rows, 180.0)
@@ -926,11 +926,30 @@
 
         run_scenario(scenario)
 
+    def test_rows_of_many_refusals_are_deleted_but_not_those_replaced_by_jobs(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            job, table, rows = make_job(), JobTable(harness.store), harness.store.rows
+            ids = [f"{number:016x}" for number in range(1 << 40, (1 << 40) + 500)]
+            for job_id in [*ids, job.id]:
+                await table.refuse(job_id)
+            leader = harness.leaders[harness.leader_name]
+            await harness.wait_until(lambda: len(leader.refusals) == 501, 3.0)
+            await asyncio.sleep(170.0)
+            # The leader does not learn of the job before it deletes the refusals.
+            harness.store.is_silent = True
+            assert await table.accept(job, harness.store.store_time())
+            await harness.wait_until(lambda: not rows.keys() & {job_key(each) for each in ids}, 25)
+            harness.store.is_silent = False
+            await harness.wait_status(job, JobStatus.COMPLETED, 8)
+
+        run_scenario(scenario)
+
     def test_job_that_is_accepted_after_a_refusal_runs_once(self):
         async def scenario(harness):
             await harness.wait_until(lambda: harness.leader_name is not None, 5)
             job, table = make_job(), JobTable(harness.store)
-            await table.refuse(job)
+            await table.refuse(job.id)
             await asyncio.sleep(1.0)
             assert await table.accept(job, harness.store.store_time())
             await harness.wait_status(job, JobStatus.COMPLETED, 8)
