--- a/src/jaypier/jobs/holding.py
+++ b/src/jaypier/jobs/holding.py
@@ -77,11 +77,12 @@
         self.holds[step] = GangHold(step, fit.workers, fits_at, fits_at + MAX_DELAY_SECONDS)
         self.hold_for_now(fit, now)
 
-    def release(self, step: StepState) -> None:
-        """Drop the hold of a gang that has started, if it had one."""
+    def release(self, step: StepState) -> bool:
+        """Drop the hold of a gang that has started; return whether it had one."""
         hold = self.holds.pop(step, None)
         for worker_id in hold.workers if hold is not None else ():
             self.until.pop(worker_id, None)
+        return hold is not None
 
     def hold_for_now(self, fit: Fit, now: float) -> None:
         """Hold the workers of a fit until the next pass.
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -30,6 +30,7 @@
 )
 from jaypier.jobs.preemption import Fit, StopCosts, can_wait, cheapest_preemption, earliest_fit
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
+from jaypier.jobs.unplaceable import StepNeed, UnplaceableSteps
 from jaypier.jobs.valuation import Valuation, ValueSettings
 from jaypier.scheduling.packing import Packing, scaled
 from jaypier.scheduling.rooms import ContendedPools
@@ -95,6 +96,7 @@
     :ivar headroom: workers that are kept free for urgent jobs.
     :ivar packing: what recently submitted tasks need, by which workers are chosen.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
+    :ivar unplaceable: what does not fit in the current pass.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
     :ivar team_shares: compares how well teams are served.
@@ -115,6 +117,7 @@
         self.headroom = Headroom()
         self.packing = Packing()
         self.isolation = Isolation()
+        self.unplaceable = UnplaceableSteps()
         self.guarantees: dict[str, int] = {}
         self.covered: set[str] = set()
         self.expired: set[str] = set()
@@ -166,7 +169,7 @@
         self.packing.refresh((worker.entry.capacity for worker in workers), now)
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
         self.team_limits.refresh(self.cluster_state, now)
-        unplaceable: dict[tuple, int] = {}
+        self.unplaceable.clear()
         contended = ContendedPools()
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
@@ -185,20 +188,20 @@
                 if affordable < len(step.waiting):
                     stops += self.wait_for_team_limit(step, now, wall_time)
                 if affordable == 0:
-                    self.holds.release(step)
+                    self.release_hold(step)
                     continue
-                signature = self.signature(step)
+                need = self.need_of(step)
                 is_suspected = bool(state.crash_suspects)
-                if step.spec.count < unplaceable.get(signature, math.inf):
+                if not self.unplaceable.covers(need):
                     started = self.place_step(step, workers, now)
                     starts += started
                     self.isolation.observe_starts(started)
                     self.team_limits.observe_starts(started)
                     if not step.waiting:
-                        self.holds.release(step)
+                        self.release_hold(step)
                         continue
                     if not started:
-                        unplaceable[signature] = step.spec.count if step.spec.is_gang else 0
+                        self.unplaceable.add(need)
                         is_waiting_gang = step.spec.is_gang and not is_urgent and not is_expired
                         if is_suspected or is_waiting_gang:
                             self.hold_workers(step, workers, now)
@@ -212,36 +215,19 @@
         self.team_shares.update(self.cluster_state, now, self.team_limits.blocked.keys())
         return Plan(starts, stops)
 
+    def need_of(self, step: StepState) -> StepNeed:
+        """Return what decides whether any task of a step can be placed."""
+        return StepNeed.of(step, self.holds, self.headroom, self.has_reservation(step))
+
+    def release_hold(self, step: StepState) -> None:
+        """Drop the hold of a step, if it has one; its workers may have room for others."""
+        if self.holds.release(step):
+            self.unplaceable.clear()
+
     def has_reservation(self, step: StepState) -> bool:
         """Whether capacity is being freed for the step."""
         return any(each.step is step for each in self.reservations)
 
-    def signature(self, step: StepState) -> tuple:
-        """Return the properties that determine where a step fits.
-
-        If a gang does not fit, no gang with the same signature and at least as many tasks does. If
-        not even one task of another step fits, none of any step with the same signature does. A
-        step with a reservation, a hold or failed tasks, or of a job that may crash its workers, has
-        a signature of its own, because its candidate workers or their free resources differ from
-        those of other steps.
-        """
-        has_reservation = self.has_reservation(step)
-        is_retry = any(task.failed_on for task in step.tasks) or bool(step.job.crash_suspects)
-        return (
-            step.spec.demand,
-            step.spec.label,
-            step.spec.data_rack,
-            step.spec.max_per_worker,
-            step.spec.is_gang,
-            step.spec.is_rack_local,
-            step.spec.is_serving,
-            step.spec.is_filling,
-            step.job.spec.service,
-            step.job.spec.priority == URGENT_PRIORITY,
-            round(step.expected_seconds) if self.holds.until else 0,
-            id(step) if has_reservation or is_retry or step in self.holds.holds else 0,
-        )
-
     def rank_jobs(self, now: float, wall_time: float) -> list[JobState]:
         """Return the jobs that may start tasks, in scheduling order.
 
