--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -82,10 +82,10 @@
 """Shortest such time while at least half of the workers have not reported to the new leader: the
 earlier one may still reach them, and continue without the store."""
 
-UNREPLACED_SECONDS = 1.3
-"""Age of the last confirmed renewal up to which no other daemon can have been elected: the time
-after which others take over, without the most by which the VMs' views of the store's clock
-differ, and a margin."""
+UNREPLACED_SECONDS = 0.8
+"""Age of the last confirmed renewal up to which no other daemon can have been elected. Others take
+over after 2 s by their own view of the store's clock, which lags by the time that a response
+took."""
 
 START_TIMEOUT_SECONDS = 1.5
 """Time for which the start of a run is retried: half of the time for which the tasks of a gang wait
@@ -427,6 +427,7 @@
         if not is_unreplaced and version > self.writer.sequence_version:
             state.awaits_confirmation = True
             self.unconfirmed_jobs[state.spec.id] = version
+            self.progress_writer.write_requested.set()
 
     def observe_job(self, state: JobState) -> None:
         """Tell the planner of a job; an unexpected error is logged, and the job stays."""
@@ -629,29 +630,26 @@
         active are then stopped, and jobs that must not start again are ended if their runs are
         lost.
         """
-        unreconciled = self.cluster_state.unreconciled_workers
-        now = self.clock.now()
-        if unreconciled:
-            timeout = self.reconcile_timeout_seconds
-            for worker in unreconciled:
-                # A worker that has reported has runs of an unknown job and has to report again.
-                since = max(self.elected_at, worker.last_report_at)
-                is_new = (
-                    worker.last_report_at == -math.inf
-                    and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
-                    and self.has_reconciled
+        now, timeout = self.clock.now(), self.reconcile_timeout_seconds
+        for worker in self.cluster_state.unreconciled_workers:
+            # A worker that has reported has runs of an unknown job and has to report again.
+            since = max(self.elected_at, worker.last_report_at)
+            is_new = (
+                worker.last_report_at == -math.inf
+                and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
+                and self.has_reconciled
+            )
+            if not is_new and now - since <= timeout:
+                continue
+            worker.is_reconciled = True
+            worker.is_unreachable = True
+            if not is_new:
+                log.info(
+                    "worker not waited for any longer",
+                    worker=worker.id,
+                    registered=worker.is_registered,
+                    seconds=now - since,
                 )
-                if not is_new and now - since <= timeout:
-                    continue
-                worker.is_reconciled = True
-                worker.is_unreachable = True
-                if not is_new:
-                    log.info(
-                        "worker not waited for any longer",
-                        worker=worker.id,
-                        registered=worker.is_registered,
-                        seconds=now - since,
-                    )
         if self.has_reconciled:
             return
         if self.cluster_state.has_located_runs:
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -111,7 +111,7 @@
         current, worker_puts, deletes = self.worker_changes(row_limit)
         puts += worker_puts
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
-        if puts or deletes or renew:
+        if puts or deletes or renew or leader.unconfirmed_jobs:
             puts += self.learned_puts()
             await leader.writer.write(puts, deletes, renew)
         self.apply_saved_workers(current)
