--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -432,6 +432,18 @@
 
         run_scenario(scenario)
 
+    def test_refusal_of_a_late_request_does_not_end_the_guard(self):
+        async def scenario(harness):
+            await self.cancel(harness)
+            harness.admission = Admission(True, "expected wait too long", 30.0, 2.0, 0.5, 7)
+            await asyncio.sleep(1.0)
+            assert (await harness.submit()).status == 429
+            harness.admission = ACCEPTED
+            await asyncio.sleep(1.0)
+            assert (await harness.submit()).status == 429
+
+        run_scenario(scenario)
+
     def test_job_that_is_stored_meanwhile_is_cancelled(self):
         async def scenario(harness):
             delayed = await self.delayed_write(harness)
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -270,9 +270,12 @@
         """
         key = job_key(job_id)
         while True:
+            until = self.table.store_time() + seconds
+            earlier = None if row is None else decode_refusal(row.value)
+            if earlier is not None:
+                until = max(until, earlier.refused_at)
             try:
-                refusal = Refusal(self.table.store_time() + seconds)
-                await self.replace(key, row, to_compact(refusal))
+                await self.replace(key, row, to_compact(Refusal(until)))
                 return None
             except ConditionFailed as error:
                 row = error.current_rows.get(key) or await self.table.read(key)
