--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -45,6 +45,9 @@
 """Total length of the values of one write: in base64 it takes 0.3 s to send at 5 Mbit/s, so that a
 lost response is noticed before other daemons take over."""
 
+MAX_WORKER_BYTES = 1 << 16
+"""Length of the values of workers' rows in one write from which later writes contain the others."""
+
 log = structlog.get_logger()
 
 
@@ -227,18 +230,20 @@
         """
         workers = self.leader.cluster_state.workers
         saved = dict(self.saved_workers)
-        puts, deletes = [], []
+        puts, deletes, size = [], [], 0
         for worker_id, worker in workers.items():
             current = self.worker_to_save(worker)
             if current is None or saved.get(worker_id) == current:
                 continue
-            if len(puts) == limit:
+            if len(puts) == limit or size > MAX_WORKER_BYTES:
                 self.write_requested.set()
                 break
             value = WorkerRecord(worker.entry, current.tasks).to_value()
-            if encoded_size(value) > self.leader.table.max_row_bytes:
+            length = encoded_size(value)
+            if length > self.leader.table.max_row_bytes:
                 log.warning("row of a worker left out: too long", worker=worker_id)
                 continue
+            size += length
             # Before the row tells that no task starts there any more, none may be on its way.
             worker.awaits_record = worker.awaits_record or current.tasks is not None
             puts.append(Put(worker_key(worker_id), value))
