Test harness: a VM without a path to the store reads no listing of workers

MemoryCluster, which LeaderHarness gave to leaders as their directory of workers, was not behind StoreView: a VM in store.unreachable_vms went on reading the entries of workers. That alone hid leaderships of which one knows workers that the other doesn't from the fuzz.

DirectoryView fails like the store: when it is down, or unreachable for this VM.

--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -173,7 +173,7 @@
             writer = FencedWriter(table, election.record, version, self.clock)
             leader = Leader(
                 table,
-                self.cluster,
+                self.cluster.directory(name),
                 lambda entry: self.cluster.link(name, entry),
                 writer,
                 LeaderSettings(self.cluster.lease_seconds, 0.5, 120.0),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -346,6 +346,25 @@
         return await self.store.commit(transaction)
 
 
+class DirectoryView(WorkerDirectory):
+    """The workers' listing as read by one VM, which needs its own path to the store.
+
+    :param name: name of the VM.
+    """
+
+    def __init__(self, cluster: "MemoryCluster", name: str) -> None:
+        self.cluster = cluster
+        self.table = cluster.store.view(name)
+
+    async def snapshot(self) -> WorkerListing:
+        """Return all registered workers."""
+        return self.cluster.build_listing(await self.table.snapshot("servers"))
+
+    async def watch(self, after: int, wait: float) -> WorkerListing:
+        """Return the entries that changed after a version, waiting for a change."""
+        return self.cluster.build_listing(await self.table.watch("servers", after, wait))
+
+
 def is_within(amount: Resources, capacity: Resources) -> bool:
     """Whether no resource of an amount exceeds a capacity."""
     return all(
@@ -897,6 +916,10 @@
         """Return the link from one VM to a worker."""
         return MemoryLink(self.workers[entry.id], vm)
 
+    def directory(self, vm: str) -> DirectoryView:
+        """Return the workers' listing as read by one VM."""
+        return DirectoryView(self, vm)
+
     async def snapshot(self) -> WorkerListing:
         """Return all registered workers."""
         return self.build_listing(await self.store.snapshot("servers"))
