--- a/src/jaypier/jobs/tests/builders.py
+++ b/src/jaypier/jobs/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders and a test harness with an in-memory cluster, shared by the tests of jobs."""
 
 import asyncio
+import contextvars
 import itertools
 import random
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,7 @@
 from jaypier.jobs.rows import decode_progress, progress_key
 from jaypier.jobs.state import Worker
 from standins.cluster import MemoryCluster, MemoryStore
+from standins.pauses import CURRENT_VM
 from standins.virtual_time import LoopClock, run_in_virtual_time
 
 LEASE_SECONDS = 6.0
@@ -161,7 +163,9 @@
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon that takes part in elections."""
-        self.tasks[name] = asyncio.create_task(self.run_daemon(name), name=name)
+        context = contextvars.copy_context()
+        context.run(CURRENT_VM.set, name)
+        self.tasks[name] = asyncio.create_task(self.run_daemon(name), name=name, context=context)
 
     async def run_daemon(self, name: str) -> None:
         """Lead whenever this daemon is elected."""
