Fuzz: long cuts beside a second leader

New feature has_long_cuts, TAKEOVER_SEEDS 6000 to 6011: a VM, mostly the leader, loses the store and some of the workers for 10 to 60 s while the other VMs reach others; workers that the new leader reached crash, restart and answer the earlier one; workers are added during a cut; the new leader is killed; store outages of 31 to 40 s after which all entries have lapsed; tasks of up to 12 s. Faults begin within 60 s. Without the flag no random number is drawn that wasn't drawn before.

First violation by trace: - 6006, 6010, 6013, 6024, 6034, 6054, 6056, 6058, 6059: the earlier leader, with most workers, takes runs for lapsed that the new one has adopted and whose lease it extends, and starts them again. - 6023, 6026, 6053: 30.02 s after a takeover the new leader waits no longer for most workers.

--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -53,6 +53,13 @@
 """Seeds that add to schedules, operators and random faults workers that run on while they are cut
 off from all VMs and from the store for longer than a live worker needs to register again."""
 
+TAKEOVER_SEEDS = range(6000, 6012)
+"""Seeds that add to schedules, operators and random faults long cuts between a VM, the store and
+some of the workers, while the other VMs reach others, longer outages, and longer tasks."""
+
+TAKEOVER_REGRESSION_SEEDS = (6023, 6024, 6053, 6056)
+"""Seeds outside this range that failed before: both leaders started tasks that were running."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -64,6 +71,22 @@
 FAULT_PHASE_SECONDS = 40.0
 COMPLETION_TIMEOUT_SECONDS = 90.0
 
+LONG_CUT_PHASE_SECONDS = 60.0
+LONG_CUT_COMPLETION_TIMEOUT_SECONDS = 180.0
+MAX_WORKERS = 14
+
+
+@attrs.define
+class Cut:
+    """A VM without the store that reaches some workers, while the other VMs reach others.
+
+    :param vm: name of that VM.
+    :param links: pairs of VM name and worker id that cannot reach each other.
+    """
+
+    vm: str
+    links: set[tuple[str, str]]
+
 
 class FuzzRun:
     """One run with random jobs and faults.
@@ -74,6 +97,8 @@
     :param has_unclear_starts: whether start requests are delayed and refused meanwhile.
     :param has_team_limits: whether there are two teams with limits on what they may have running.
     :param has_partitions: whether workers are cut off from all VMs and from the store.
+    :param has_long_cuts: whether a VM, mostly the leader, is cut off from the store and from some
+        of the workers, for up to 60 s.
     """
 
     def __init__(
@@ -84,6 +109,7 @@
         has_unclear_starts: bool = False,
         has_team_limits: bool = False,
         has_partitions: bool = False,
+        has_long_cuts: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.cluster = MemoryCluster(MemoryStore(random.Random(seed)), random.Random(seed + 1))
@@ -104,6 +130,8 @@
         self.has_unclear_starts = has_unclear_starts
         self.has_team_limits = has_team_limits
         self.has_partitions = has_partitions
+        self.has_long_cuts = has_long_cuts
+        self.cut: Cut | None = None
         if self.has_schedules:
             self.cluster.max_early_start_seconds = CLOCK_ERROR_SECONDS + 0.1
             self.harness.clock_errors = {
@@ -115,7 +143,9 @@
         """Submit jobs and inject faults, wait until all have ended, and check the recorded runs."""
         for name in DAEMONS:
             self.harness.start_daemon(name)
-        end = self.harness.clock.now() + FAULT_PHASE_SECONDS
+        phase = LONG_CUT_PHASE_SECONDS if self.has_long_cuts else FAULT_PHASE_SECONDS
+        longest_pause = 3.0 if self.has_long_cuts else 1.2
+        end = self.harness.clock.now() + phase
         faults = [
             self.kill_daemon,
             self.take_store_down,
@@ -141,9 +171,12 @@
             faults += [self.change_team_limits] * 3
         if self.has_partitions:
             faults += [self.partition_worker] * 5 + [self.kill_daemon] * 3
+        if self.has_long_cuts:
+            faults += [self.cut_leader] * 20 + [self.restart_beside_cut] * 5 + [self.add_worker] * 3
+            faults += [self.kill_other_leader] * 3 + [self.take_store_down_longer] * 2
         fault_tasks = []
         while self.harness.clock.now() < end:
-            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+            await asyncio.sleep(self.rng.uniform(0.1, longest_pause))
             self.submit()
             if self.jobs and self.rng.random() < 0.25:
                 self.cancel()
@@ -160,9 +193,14 @@
         assert not self.cluster.violations, self.cluster.violations[:5]
 
     async def wait_for_jobs(self) -> None:
-        """Wait until every job has ended, for at most ``COMPLETION_TIMEOUT_SECONDS``."""
+        """Wait until every job has ended, for a time."""
         unfinished = [job for job in self.jobs if not self.is_final(job)]
-        end = self.harness.clock.now() + COMPLETION_TIMEOUT_SECONDS
+        timeout = (
+            LONG_CUT_COMPLETION_TIMEOUT_SECONDS
+            if self.has_long_cuts
+            else COMPLETION_TIMEOUT_SECONDS
+        )
+        end = self.harness.clock.now() + timeout
         while unfinished:
             assert self.harness.clock.now() < end, f"{len(unfinished)} jobs have not ended in time"
             await asyncio.sleep(0.5)
@@ -187,11 +225,12 @@
         """Submit a random job, unless it needs more than 48 accelerators."""
         is_gang = self.rng.random() < 0.5
         accelerators = (0, 1, 2, 4, 8) if self.has_capacity_changes else (1, 2, 4, 8)
+        longest = 12.0 if self.has_long_cuts else 4.0
         steps = [
             make_step(
                 count=self.rng.randint(1, 6),
                 accelerators=self.rng.choice(accelerators),
-                seconds=self.rng.uniform(0.5, 4.0),
+                seconds=self.rng.uniform(0.5, longest),
                 saves=self.rng.random() < 0.5,
                 is_gang=is_gang,
                 is_rack_local=is_gang and self.rng.random() < 0.3,
@@ -375,6 +414,84 @@
     async def compact_store(self) -> None:
         self.cluster.store.compact()
 
+    async def cut_leader(self) -> None:
+        if self.cut is not None:
+            return
+        name = self.harness.leader_name
+        if name is None or self.rng.random() < 0.15:
+            name = self.rng.choice(DAEMONS)
+        share, shared = self.rng.uniform(0.4, 0.85), self.rng.choice((0.0, 0.0, 0.1))
+        reached = {each for each in sorted(self.cluster.workers) if self.rng.random() < share}
+        links = {(name, each) for each in self.cluster.workers.keys() - reached}
+        links |= {
+            (other, each)
+            for each in sorted(reached)
+            if self.rng.random() >= shared
+            for other in DAEMONS
+            if other != name
+        }
+        cut = self.cut = Cut(name, links)
+        self.cluster.cut_links |= links
+        self.cluster.store.unreachable_vms.add(name)
+        await asyncio.sleep(self.rng.uniform(10.0, 60.0))
+        self.cluster.cut_links -= cut.links
+        self.cluster.store.unreachable_vms.discard(name)
+        self.cut = None
+
+    async def restart_beside_cut(self) -> None:
+        if self.cut is None:
+            return
+        vm = self.cut.vm
+        ids = sorted(each for name, each in self.cut.links if name == vm)
+        workers = [self.cluster.workers[each] for each in ids]
+        workers = [each for each in workers if each.is_up][: self.rng.randint(1, 4)]
+        for worker in workers:
+            worker.crash()
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        for worker in workers:
+            if self.cut is not None and self.cut.vm == vm and self.rng.random() < 0.8:
+                self.swap_links(self.cut, worker.entry.id)
+            worker.restart()
+
+    def swap_links(self, cut: Cut, worker_id: str) -> None:
+        """Let the VM that is cut off reach a worker instead of the other VMs."""
+        lost = {(name, worker_id) for name in DAEMONS if name != cut.vm}
+        cut.links = (cut.links | lost) - {(cut.vm, worker_id)}
+        self.cluster.cut_links = (self.cluster.cut_links | lost) - {(cut.vm, worker_id)}
+
+    async def add_worker(self) -> None:
+        number = len(self.cluster.workers)
+        if number >= MAX_WORKERS:
+            return
+        place = {"data_centre": f"dc-{number % 2}", "rack": f"rack-{number % 2}"}
+        worker = self.cluster.add_worker(f"worker-{number}", **place)
+        worker.clock_rate = self.rng.uniform(0.98, 1.0)
+        if self.cut is not None:
+            self.cut.links.add((self.cut.vm, worker.entry.id))
+            self.cluster.cut_links.add((self.cut.vm, worker.entry.id))
+
+    async def kill_other_leader(self) -> None:
+        """Kill the successor of a leader that is cut off."""
+        names = sorted(self.harness.leaders.keys() - {self.cut.vm}) if self.cut else []
+        if not names or names[0] not in self.harness.tasks:
+            return
+        await self.harness.kill(names[0])
+        await self.pause()
+        self.harness.start_daemon(names[0])
+
+    async def take_store_down_longer(self) -> None:
+        """Take the store down for longer than the entries of workers last."""
+        self.cluster.store.is_down = True
+        await asyncio.sleep(self.rng.uniform(31.0, 40.0))
+        workers = list(self.cluster.workers.values())
+        for worker in workers:
+            self.cluster.unregister(worker)
+        self.cluster.store.is_down = False
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        for worker in workers:
+            if worker.is_up:
+                self.cluster.register(worker)
+
 
 def run_seed(seed: int, **features: bool) -> None:
     async def run() -> None:
@@ -404,6 +521,10 @@
     def test_invariants_hold_beside_workers_that_are_cut_off(self, seed):
         run_seed(seed, has_partitions=True)
 
+    @pytest.mark.parametrize("seed", [*TAKEOVER_SEEDS, *TAKEOVER_REGRESSION_SEEDS])
+    def test_invariants_hold_beside_leaders_that_are_cut_off(self, seed):
+        run_seed(seed, has_long_cuts=True)
+
     @pytest.mark.parametrize("seed", LIMIT_SEEDS)
     def test_invariants_hold_while_team_limits_change(self, seed):
         run_seed(seed, has_team_limits=True)
