Tests of takeovers: room for lost tasks, a crash during an outage

The test of a lost data centre had no room in which lost tasks could start within the longest wait, and left 700 s for the job's end; workers are added now, all lost tasks have to start within 31 s, and the job ends 151 s after that. A worker that crashes 60 s into an outage has its task started elsewhere within the longest lease and 3 s.

--- a/src/jaypier/jobs/tests/test_takeover.py
+++ b/src/jaypier/jobs/tests/test_takeover.py
@@ -400,6 +400,24 @@
 
         run_scenario(scenario, workers=6)
 
+    def test_task_of_a_worker_that_crashes_in_an_outage_starts_elsewhere(self):
+        async def scenario(harness):
+            job = await start_long_job(harness, 4)
+            leader = harness.leaders[harness.leader_name]
+            harness.store.is_down = True
+            await asyncio.sleep(60.0)
+            pick_workers(harness, is_busy=True)[0].crash()
+            await harness.wait_until(
+                lambda: len(runs_of(harness, job)) == 5,
+                leader.cluster_state.longest_lease_seconds + NO_TURN_LOST_SECONDS,
+            )
+            await asyncio.sleep(60.0)
+            harness.store.is_down = False
+            await harness.wait_status(job, JobStatus.COMPLETED, 150.0)
+            assert len(runs_of(harness, job)) == 5
+
+        run_scenario(scenario, workers=6)
+
 
 class TestLossOfPower:
     @pytest.mark.parametrize("has_new_ids", [False, True], ids=["same-ids", "new-ids"])
@@ -491,10 +509,14 @@
             waiting = make_job(make_step(accelerators=2, seconds=1.0))
             asyncio.get_running_loop().call_later(1.0, harness.cluster.submit, waiting)
             await self.lose(harness, workers)
+            for number in range(lost):
+                harness.cluster.add_worker(f"added-{number}")
             await harness.wait_until(
-                lambda: has_started(harness, waiting), RECONCILE_MINORITY_TIMEOUT_SECONDS + 1.0
+                lambda: has_started(harness, waiting)
+                and len(runs_of(harness, running)) == 6 + lost,
+                RECONCILE_MINORITY_TIMEOUT_SECONDS + 1.0,
             )
-            await harness.wait_status(running, JobStatus.COMPLETED, 700.0)
+            await harness.wait_status(running, JobStatus.COMPLETED, 150.0 + 1.0)
 
         run_scenario(scenario, workers=6)
 
