--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -128,6 +128,8 @@
     :ivar elected_at: time on the local clock, in seconds, at which the leadership began.
     :ivar has_reconciled: whether every worker has reported to this leader or can have no active
         run of an earlier one.
+    :ivar authority_basis: what allows it to start runs and extend leases: ``"store"``,
+        ``"workers"``, or empty while nothing does.
     :ivar learned: what it has learned of the load and of the workers.
     :ivar is_loaded: whether the state has been read from the store.
     :ivar jobs_version: version of the store up to which all rows of jobs have been applied.
@@ -181,6 +183,7 @@
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
+        self.authority_basis = "store"
         self.unconfirmed_jobs: dict[str, int] = {}
         self.unreadable_jobs: set[str] = set()
         self.is_loaded = False
@@ -569,12 +572,32 @@
         It may while the store, or more than half of the workers, have recently confirmed that they
         know no newer leader.
         """
-        if self.is_confirmed_by_store:
-            return True
+        return self.is_confirmed_by_store or 2 * self.reporting_count > len(
+            self.cluster_state.workers
+        )
+
+    @property
+    def reporting_count(self) -> int:
+        """Number of workers whose last report is at most ``REPORT_MAX_AGE_SECONDS`` old."""
         now = self.clock.now()
         workers = self.cluster_state.workers.values()
-        reporting = sum(now - worker.last_report_at <= REPORT_MAX_AGE_SECONDS for worker in workers)
-        return 2 * reporting > len(workers)
+        return sum(now - worker.last_report_at <= REPORT_MAX_AGE_SECONDS for worker in workers)
+
+    def log_authority(self) -> None:
+        """Log and count each change of what allows this leader to start runs and extend leases."""
+        basis = "store" if self.is_confirmed_by_store else "workers" if self.has_authority else ""
+        if basis == self.authority_basis:
+            return
+        self.authority_basis = basis
+        self.metrics.count("leader.authority_changes")
+        log.info(
+            "authority changed",
+            epoch=self.epoch,
+            basis=basis or "none",
+            reporting=self.reporting_count,
+            workers=len(self.cluster_state.workers),
+            confirmed_age=self.clock.now() - self.writer.confirmed_at,
+        )
 
     async def run_scheduling(self) -> None:
         """Start the sessions of loaded workers, then run a scheduling pass whenever requested."""
@@ -649,6 +672,10 @@
                     worker=worker.id,
                     registered=worker.is_registered,
                     seconds=now - since,
+                    timeout=timeout,
+                    reported=len(self.cluster_state.workers)
+                    - len(self.cluster_state.unreconciled_workers),
+                    workers=len(self.cluster_state.workers),
                 )
         if self.has_reconciled:
             return
@@ -685,6 +712,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             now = self.clock.now()
+            self.log_authority()
             self.cluster_state.open_due_occurrences(self.wall_clock())
             for worker in self.cluster_state.crashes.settle_ended_processes():
                 self.drop_worker(worker)
