Stand-in: daemons can be cut from single workers, paused, and have clocks that are ahead

Two daemons could not be told apart by a worker, and relays through peers gave a daemon without a path to the store another one.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+from collections import defaultdict
 from contextlib import AsyncExitStack
 from enum import Enum
 from pathlib import Path
@@ -21,7 +22,7 @@
 from standins.cluster import MemoryCluster, MemoryStore
 from standins.ports import HOST, ReservedPorts
 from standins.protocol import PlatformServers, encode_configuration
-from standins.proxy import LoopbackProxy
+from standins.proxy import LoopbackProxy, ProxyMode
 
 OPERATOR_TOKEN = "operator-token-0123456789"
 
@@ -98,13 +99,15 @@
 class Deployment:
     """Daemons, store and workers; an async context manager that stops everything it has started.
 
-    Each daemon reaches the store through its own proxy in ``proxies``.
+    Each daemon connects from its own host. It reaches the store through its own proxy in
+    ``proxies``, workers through theirs in ``worker_proxies`` and daemons in ``relay_proxies``.
 
     :param folder: folder for the settings and logs of the daemons.
     :param configuration_source: where the daemons get their configuration from.
     :param daemons: number of daemons.
     :param racks: number of racks, each in a separate data centre.
     :param workers_per_rack: number of workers of a rack, each with 8 accelerators.
+    :ivar wall_clock_leads: seconds by which the wall clock of a daemon is ahead once it is started.
     """
 
     def __init__(
@@ -123,17 +126,40 @@
             self.cluster.add_worker(f"worker-{number:02}", f"dc-{rack}", f"rack-{rack}")
         count = len(self.cluster.workers)
         self.reserved_ports = ReservedPorts()
-        store, *workers = [Address(HOST, self.reserved_ports.reserve()) for _ in range(1 + count)]
-        self.servers = PlatformServers(self.cluster, store, workers)
+        store, *workers = self.reserve_addresses(1 + count)
         self.ports = [reserve_daemon_ports(self.reserved_ports) for _ in range(daemons)]
         self.proxies = [LoopbackProxy(Address(HOST, each.store), store) for each in self.ports]
+        listens = self.reserve_addresses(count)
+        self.worker_proxies = {
+            worker_id: LoopbackProxy(listen, target)
+            for worker_id, listen, target in zip(
+                self.cluster.workers, listens, workers, strict=True
+            )
+        }
+        self.relay_proxies = [
+            LoopbackProxy(listen, Address(HOST, ports.peers))
+            for listen, ports in zip(self.reserve_addresses(daemons), self.ports, strict=True)
+        ]
+        self.servers = PlatformServers(
+            self.cluster,
+            store,
+            workers,
+            listens,
+            {str(proxy.target): str(proxy.listen) for proxy in self.relay_proxies},
+        )
+        self.wall_clock_leads: dict[int, float] = defaultdict(float)
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.exit_stack = AsyncExitStack()
 
+    def reserve_addresses(self, count: int) -> list[Address]:
+        """Reserve addresses on the loopback interface."""
+        return [Address(HOST, self.reserved_ports.reserve()) for _ in range(count)]
+
     async def __aenter__(self) -> "Deployment":
         self.folder.mkdir(parents=True, exist_ok=True)
         try:
-            for resource in (self.servers, *self.proxies):
+            proxies = (*self.proxies, *self.worker_proxies.values(), *self.relay_proxies)
+            for resource in (self.servers, *proxies):
                 await self.exit_stack.enter_async_context(resource)
             if self.configuration_source is ConfigurationSource.PLATFORM:
                 self.servers.write_configuration(encode_configuration(1, {"clinic": ["k1"]}))
@@ -159,7 +185,8 @@
 
     async def start(self, number: int) -> None:
         """Start the process of a daemon."""
-        command = [sys.executable, "-m", "jaypier.entry"]
+        lead = self.wall_clock_leads[number]
+        command = [sys.executable, "-m", "standins.vm", source_host(number), str(lead)]
         environment = dict(os.environ)
         path = self.write_settings(number)
         if self.configuration_source is ConfigurationSource.PLATFORM:
@@ -210,6 +237,10 @@
         """Return the log of a daemon so far."""
         return self.log_path(number).read_text()
 
+    def send_signal(self, number: int, sent: signal.Signals) -> None:
+        """Send a signal to a daemon, such as SIGSTOP, without waiting for its exit."""
+        self.processes[number].send_signal(sent)
+
     async def stop(self, number: int, stop_signal: signal.Signals) -> int:
         """Send a signal to a daemon, wait for it to exit and return its exit code.
 
@@ -251,6 +282,19 @@
             self.processes, key=lambda number: self.read_log(number).count("leadership began")
         )
 
+    # Network faults
+
+    def cut_worker(self, number: int, worker_id: str, mode: ProxyMode = ProxyMode.DROP) -> None:
+        """Cut a daemon from a worker; ``ProxyMode.FORWARD`` ends the cut."""
+        self.worker_proxies[worker_id].client_modes[source_host(number)] = mode
+
+    def cut_store(self, number: int, mode: ProxyMode = ProxyMode.DROP) -> None:
+        """Cut a daemon from the store and from the other daemons, which would relay for it."""
+        for proxy in (self.proxies[number], self.relay_proxies[number]):
+            proxy.mode = mode
+        for proxy in self.relay_proxies:
+            proxy.client_modes[source_host(number)] = mode
+
     # Requests
 
     async def call_as_caller(
@@ -293,6 +337,11 @@
         return f"{HOST}:{self.ports[number].operators}"
 
 
+def source_host(number: int) -> str:
+    """Return the host on the loopback interface that a daemon connects from."""
+    return f"127.0.1.{number + 1}"
+
+
 async def send_request(
     port: int,
     method: str,
--- a/standins/protocol.py
+++ b/standins/protocol.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from typing import Any
 from urllib.parse import parse_qs
@@ -25,6 +26,7 @@
     Transaction,
 )
 from jaypier.platform.workers import RUN_OUTCOMES, START_REFUSALS
+from jaypier.relay.peers import DAEMONS_TABLE
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import HttpServer
 from standins.cluster import MemoryCluster, MemoryStore, MemoryWorker
@@ -56,10 +58,20 @@
     """HTTP server of the store.
 
     :param store: in-memory store to expose.
+    :param relay_proxies: by a daemon's address for other daemons, the address of the proxy through
+        which they reach it.
     """
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, relay_proxies: Mapping[str, str] | None = None) -> None:
         self.store = store
+        self.relay_proxies = relay_proxies or {}
+
+    def decode_put(self, row: dict[str, Any]) -> Put:
+        """Decode a row to write; a daemon is registered with the address of its proxy."""
+        key, value = row_key(row), msgspec.json.decode(base64.b64decode(row["Value"]))
+        if row["Table"] == DAEMONS_TABLE:
+            value["relay"] = self.relay_proxies.get(value["relay"], value["relay"])
+        return Put(key, value)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request."""
@@ -104,10 +116,7 @@
         """Apply a transaction; status 412 with the current rows if a condition does not hold."""
         transaction = Transaction(
             [Condition(row_key(row), row["RowVersion"]) for row in body["Expect"]],
-            [
-                Put(row_key(row), msgspec.json.decode(base64.b64decode(row["Value"])))
-                for row in body["Write"]
-            ],
+            [self.decode_put(row) for row in body["Write"]],
             [row_key(row) for row in body["Remove"]],
         )
         try:
@@ -258,23 +267,34 @@
     :param cluster: in-memory store and workers.
     :param store_address: address of the store.
     :param worker_addresses: address of each worker.
+    :param registered_addresses: address that each worker's entry names, the same by default.
+    :param relay_proxies: see :class:`StoreServer`.
     :ivar handler_errors: unexpected exceptions of request handlers.
     """
 
     def __init__(
-        self, cluster: MemoryCluster, store_address: Address, worker_addresses: list[Address]
+        self,
+        cluster: MemoryCluster,
+        store_address: Address,
+        worker_addresses: list[Address],
+        registered_addresses: list[Address] | None = None,
+        relay_proxies: Mapping[str, str] | None = None,
     ) -> None:
         self.cluster = cluster
         self.store_address = store_address
         self.worker_addresses = worker_addresses
+        self.registered_addresses = registered_addresses or worker_addresses
+        self.relay_proxies = relay_proxies
         self.stack = AsyncExitStack()
         self.handler_errors: list[str] = []
 
     async def __aenter__(self) -> "PlatformServers":
-        await self.serve(self.store_address, StoreServer(self.cluster.store).handle)
+        store_server = StoreServer(self.cluster.store, self.relay_proxies)
+        await self.serve(self.store_address, store_server.handle)
+        addresses = zip(self.worker_addresses, self.registered_addresses, strict=True)
         workers = self.cluster.workers.values()
-        for worker, address in zip(workers, self.worker_addresses, strict=True):
-            worker.entry = attrs.evolve(worker.entry, address=address)
+        for worker, (address, registered) in zip(workers, addresses, strict=True):
+            worker.entry = attrs.evolve(worker.entry, address=registered)
             await self.serve(address, WorkerServer(worker).handle)
             self.register(worker)
         return self
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -32,6 +32,7 @@
     :param listen: address to listen on.
     :param target: address to connect to.
     :ivar mode: fault to simulate, which also applies to open connections.
+    :ivar client_modes: the same for single clients, by the host that they connect from.
     :ivar delay_seconds: delay of each chunk of data.
     :ivar bytes_per_second: bandwidth that all connections share in each direction.
     :ivar response_bytes: number of bytes received from the target.
@@ -41,6 +42,7 @@
         self.listen = listen
         self.target = target
         self.mode = ProxyMode.FORWARD
+        self.client_modes: dict[str, ProxyMode] = {}
         self.delay_seconds = 0.0
         self.bytes_per_second = math.inf
         self.free_at = {True: 0.0, False: 0.0}
@@ -79,8 +81,9 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         self.writers.add(writer)
+        client = writer.get_extra_info("peername")[0]
         try:
-            if self.mode is ProxyMode.REFUSE:
+            if self.mode_for(client) is ProxyMode.REFUSE:
                 return
             target_reader, target_writer = await asyncio.open_connection(
                 self.target.host, self.target.port
@@ -88,8 +91,8 @@
             self.writers.add(target_writer)
             try:
                 await asyncio.gather(
-                    self.forward(reader, target_writer, is_response=False),
-                    self.forward(target_reader, writer, is_response=True),
+                    self.forward(reader, target_writer, client, is_response=False),
+                    self.forward(target_reader, writer, client, is_response=True),
                 )
             finally:
                 self.writers.discard(target_writer)
@@ -102,6 +105,14 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    def mode_for(self, client: str) -> ProxyMode:
+        """Return the fault that applies to the connections from a host."""
+        return self.client_modes.get(client, self.mode)
+
+    def stop_listening(self) -> None:
+        """Let new connections be refused; open ones continue."""
+        self.server.close()
+
     @property
     def chunk_bytes(self) -> int:
         """Maximum number of bytes to forward at once."""
@@ -116,9 +127,13 @@
             await asyncio.sleep(free_at - now)
 
     async def forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_response: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        client: str,
+        is_response: bool,
     ) -> None:
-        """Forward data in one direction, subject to ``mode``.
+        """Forward data in one direction, subject to the mode that applies to the client.
 
         :raises ConnectionResetError: at the end of the stream, so that the other direction ends.
         """
@@ -127,11 +142,12 @@
                 await asyncio.sleep(self.delay_seconds)
             await self.wait_for_bandwidth(len(data), is_response)
             self.response_bytes += len(data) if is_response else 0
-            if self.mode is ProxyMode.REFUSE:
+            mode = self.mode_for(client)
+            if mode is ProxyMode.REFUSE:
                 break
-            if self.mode is ProxyMode.DROP:
+            if mode is ProxyMode.DROP:
                 continue
-            if self.mode is ProxyMode.DROP_RESPONSES and is_response:
+            if mode is ProxyMode.DROP_RESPONSES and is_response:
                 continue
             writer.write(data)
             await writer.drain()
