--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -1,16 +1,18 @@
 """Tests of takeovers among daemons as processes, beside store outages and partial cuts."""
 
 import asyncio
+import contextlib
 import itertools
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from pathlib import Path
 
 import attrs
 import msgspec
 import pytest
 
-from standins.deployment import ConfigurationSource, Deployment
+from jaypier.jobs.session import LONG_POLL_SECONDS
+from standins.deployment import ConfigurationSource, Deployment, send_request
 
 JOB = "00000000000000c1"
 TASKS = 4
@@ -28,6 +30,9 @@
 
 LONG_CUT_SECONDS = 33.0
 
+PAUSE_SECONDS = 4.5
+"""Longer than a takeover takes, and shorter than a lease."""
+
 
 @attrs.define
 class Play:
@@ -115,6 +120,17 @@
         loop = asyncio.get_running_loop()
         loop.call_later(seconds, self.deployment.send_signal, number, signal.SIGCONT)
 
+    @contextlib.asynccontextmanager
+    async def load(self, number: int) -> AsyncIterator[None]:
+        """Keep a daemon busy with requests, so that a pause does not find it waiting for events."""
+        port = self.deployment.ports[number].metrics
+        calls = [asyncio.create_task(send_request(port, "GET", "/dump")) for _ in range(200)]
+        await asyncio.sleep(0.1)
+        yield
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def begin_outage(self, seconds: float) -> None:
         """Take the store away and return before it is back."""
         self.deployment.cluster.store.is_down = True
@@ -191,11 +207,26 @@
     await play.watch_takeover(play.busy, LONG_CUT_SECONDS)
 
 
+async def pause_leader_beside_cut(play: Play) -> None:
+    """The old leader is paused, and reaches only one worker when it continues."""
+    await play.submit()
+    silent = {min(play.busy)}
+    play.cut(play.others, silent)
+    async with play.load(play.old_leader):
+        play.pause(play.old_leader, PAUSE_SECONDS)
+    # The answers to requests sent before the pause arrive in the meantime.
+    await asyncio.sleep(LONG_POLL_SECONDS + 0.5)
+    play.cut({play.old_leader}, play.workers - silent)
+    play.deployment.cut_store(play.old_leader)
+    await play.watch_takeover(silent, LEASES_END_SECONDS)
+
+
 RACKS_OF_SCENARIOS = {
     refuse_leader_after_outage: 4,
     pause_leader_in_outage: 4,
     lose_worker_before_outage: 4,
     split_workers: 3,
+    pause_leader_beside_cut: 3,
 }
 
 
@@ -242,3 +273,8 @@
 class TestTakeoverBesideLastingCut:
     def test_runs_that_old_leader_keeps_for_over_30_seconds_are_not_started_twice(self, outcomes):
         assert outcomes[split_workers] == []
+
+
+class TestTakeoverFromPausedLeader:
+    def test_reports_from_before_pause_do_not_lead_to_second_run(self, outcomes):
+        assert outcomes[pause_leader_beside_cut] == []
