--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -466,6 +466,7 @@
             worker.consecutive_failures = 0
         worker.clock, worker.clock_read_at = report.clock, now
         worker.last_report_at = now
+        worker.report_requested_at = max(worker.report_requested_at, sent_at)
         worker.is_reconciled = True
         worker.is_unreachable = False
         new_ends = list(
--- a/src/jaypier/jobs/fenced_writer.py
+++ b/src/jaypier/jobs/fenced_writer.py
@@ -63,10 +63,10 @@
         self.sequence_version = 0
         self.clock = clock
         self.summarize_load: Callable[[], LoadSummary | None] = lambda: None
-        self.confirmed_at = clock.now()
         self.renewed_at = clock.now()
         age = max(0.0, table.store_time() - record.renewed_at)
         self.renewal_sent_at = clock.now() - age
+        self.confirmed_at = self.renewal_sent_at
         self.elected_version = version
 
     async def open(self) -> None:
@@ -87,16 +87,18 @@
         """Return the seconds until the leadership has to be renewed, 0 when it is due."""
         return max(0.0, self.renewed_at + RENEWAL_INTERVAL_SECONDS - self.clock.now())
 
-    async def write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
+    async def write(self, puts: list[Put], deletes: list[str], renew: bool) -> frozenset[str]:
         """Write rows, retrying until the store has responded.
 
         A row that the store refuses by itself is logged and left out.
 
         :param deletes: keys of the rows to delete.
         :param renew: whether to renew the leader's row in the same transaction.
+        :returns: keys of the rows that were left out.
         :raises LeadershipLost: when another daemon leads.
         :raises PlatformRefused: when the store refuses a write of the leader's own rows alone.
         """
+        left_out: frozenset[str] = frozenset()
         while True:
             sent_at = self.clock.now()
             try:
@@ -107,29 +109,32 @@
             except ConditionFailed as error:
                 self.refresh_versions(error.current_rows)
             except PlatformRefused as error:
-                await self.write_split(puts, deletes, error)
+                left_out = await self.write_split(puts, deletes, error)
                 puts, deletes = [], []
             else:
                 self.confirmed_at = sent_at
-                return
+                return left_out
 
     async def write_split(
         self, puts: list[Put], deletes: list[str], error: PlatformRefused
-    ) -> None:
+    ) -> frozenset[str]:
         """Write the halves of a refused write separately; leave out a single row that is refused.
 
         Raising an error for such a row would end this leadership, and the next leader would fail
         on the same row.
+
+        :returns: keys of the rows that were left out.
         """
         if len(puts) + len(deletes) == 0:
             raise error
         if len(puts) + len(deletes) == 1:
             keys = [put.key for put in puts] + deletes
             log.error("row left out: refused by the store", key=keys[0], reason=str(error))
-            return
+            return frozenset(keys)
         middle = (len(puts) + len(deletes)) // 2
-        await self.write(puts[:middle], deletes[: max(0, middle - len(puts))], False)
-        await self.write(puts[middle:], deletes[max(0, middle - len(puts)) :], False)
+        first = await self.write(puts[:middle], deletes[: max(0, middle - len(puts))], False)
+        second = await self.write(puts[middle:], deletes[max(0, middle - len(puts)) :], False)
+        return first | second
 
     async def try_write(self, puts: list[Put], deletes: list[str], renew: bool) -> None:
         """Send one transaction with the rows; update the known versions when it is confirmed."""
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -41,6 +41,13 @@
 from jaypier.jobs.stranding_log import StrandingLog
 from jaypier.jobs.team_log import TeamLog
 from jaypier.jobs.valuation import ValueSettings
+from jaypier.jobs.witnesses import (
+    MAX_SECONDS_WITHOUT_STORE,
+    WITNESSES_KEY,
+    Witnesses,
+    WitnessSet,
+    decode_witnesses,
+)
 from jaypier.jobs.worker_interface import (
     WorkerDirectory,
     WorkerLink,
@@ -72,16 +79,9 @@
 """Age of the last confirmed write up to which the leader starts runs and extends leases in any
 case: the time after which other daemons take over."""
 
-REPORT_MAX_AGE_SECONDS = 3.0
-"""Age up to which a worker's last report shows that it has accepted no newer epoch."""
-
 RECONCILE_MARGIN_SECONDS = 0.17
 """Margin of the time after which no run of an earlier leader is active on a worker."""
 
-RECONCILE_MINORITY_TIMEOUT_SECONDS = 30.0
-"""Shortest such time while at least half of the workers have not reported to the new leader: the
-earlier one may still reach them, and continue without the store."""
-
 UNREPLACED_SECONDS = 0.8
 """Age of the last confirmed renewal up to which no other daemon can have been elected. Others take
 over after 2 s by their own view of the store's clock, which lags by the time that a response
@@ -128,8 +128,9 @@
     :ivar elected_at: time on the local clock, in seconds, at which the leadership began.
     :ivar has_reconciled: whether every worker has reported to this leader or can have no active
         run of an earlier one.
+    :ivar witnesses: workers whose reports show whether another leader may act.
     :ivar authority_basis: what allows it to start runs and extend leases: ``"store"``,
-        ``"workers"``, or empty while nothing does.
+        ``"witnesses"``, or empty while nothing does.
     :ivar learned: what it has learned of the load and of the workers.
     :ivar is_loaded: whether the state has been read from the store.
     :ivar jobs_version: version of the store up to which all rows of jobs have been applied.
@@ -183,6 +184,7 @@
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
+        self.witnesses = Witnesses(self.elected_at)
         self.authority_basis = "store"
         self.unconfirmed_jobs: dict[str, int] = {}
         self.unreadable_jobs: set[str] = set()
@@ -236,8 +238,10 @@
     async def load_state(self) -> None:
         """Load jobs, their progress and the workers from the store."""
         # Read side by side, so that what was learned does not delay a takeover.
-        jobs, learned = await asyncio.gather(
-            self.table.snapshot(JOBS_TABLE), self.table.read(LEARNED_KEY)
+        jobs, learned, witnesses = await asyncio.gather(
+            self.table.snapshot(JOBS_TABLE),
+            self.table.read(LEARNED_KEY),
+            self.table.read(WITNESSES_KEY),
         )
         progress = await self.table.snapshot(PROGRESS_TABLE)
         listing = await self.read_workers()
@@ -260,6 +264,7 @@
         self.workers_version = listing.version
         self.apply_listing(listing, is_complete=True)
         await self.restore_recorded_workers()
+        self.restore_witnesses(witnesses)
         self.is_loaded = True
         log.info(
             "state loaded",
@@ -301,6 +306,20 @@
             )
         worker = self.cluster_state.workers[worker_id]
         self.cluster_state.restore_recorded_tasks(worker, record.tasks)
+        if worker.latest_born != record.entry.born:
+            worker.awaits_record = True
+
+    def restore_witnesses(self, row: Row | None) -> None:
+        """Take over the witnesses that earlier leaders count.
+
+        Without a readable row, the recorded workers stand in for them: builds before the row was
+        introduced counted all workers.
+        """
+        saved = self.progress_writer.saved_workers
+        recorded = WitnessSet({worker_id: each.born for worker_id, each in saved.items()})
+        rows = [] if row is None else [(row.key, row.value)]
+        decoded = next((each for _, each in decode_valid(rows, decode_witnesses)), recorded)
+        self.witnesses.restore(decoded, self.clock.now())
 
     @contextlib.contextmanager
     def contain_row(self, key: str) -> Iterator[None]:
@@ -533,6 +552,7 @@
         :param version: version of the store from which the entry was read, for the log.
         """
         existing = self.cluster_state.workers.get(entry.id)
+        latest_born = None if existing is None else existing.latest_born
         if (
             existing is None
             or existing.entry.is_ready != entry.is_ready
@@ -547,7 +567,7 @@
                 version=version,
             )
         worker = self.cluster_state.register_worker(entry, now)
-        if existing is None:
+        if worker.latest_born != latest_born:
             worker.awaits_record = True
         if worker.awaits_record or not worker.accepts_tasks:
             self.progress_writer.write_requested.set()
@@ -567,25 +587,67 @@
 
     @property
     def has_authority(self) -> bool:
-        """Whether this leader may send requests that start or preempt runs or extend leases.
+        """Whether this leader may send requests that start or preempt runs or extend leases."""
+        return bool(self.find_authority(self.clock.now()))
+
+    def find_authority(self, now: float) -> str:
+        """Return what allows this leader to act at a time, empty if nothing does.
+
+        It may act while the store, or more than half of the witnesses, have recently confirmed that
+        they know no newer leader; see ``docs/design/takeovers.md``.
 
-        It may while the store, or more than half of the workers, have recently confirmed that they
-        know no newer leader.
+        :param now: time on the local clock, in seconds.
+        :returns: ``"store"``, ``"witnesses"`` or ``""``.
         """
-        return self.is_confirmed_by_store or 2 * self.reporting_count > len(
-            self.cluster_state.workers
-        )
+        seconds = now - self.writer.confirmed_at
+        if seconds <= STORE_CONFIRMATION_MAX_AGE_SECONDS:
+            return "store"
+        if seconds > MAX_SECONDS_WITHOUT_STORE:
+            return ""
+        is_confirmed = self.witnesses.have_confirmed(self.cluster_state.workers, now)
+        return "witnesses" if is_confirmed else ""
+
+    def grant_lease(self, worker: Worker, now: float) -> int | None:
+        """Extend the lease of the runs on a worker if this leader may act.
+
+        :param now: time on the local clock, in seconds. A request that is sent later carries the
+            lease of this time, so that a pause in between extends nothing.
+        :returns: the end of the lease on the worker's clock, in milliseconds; ``None`` if this
+            leader may not extend it.
+        """
+        return self.cluster_state.extend_lease(worker, now) if self.find_authority(now) else None
 
-    @property
-    def reporting_count(self) -> int:
-        """Number of workers whose last report is at most ``REPORT_MAX_AGE_SECONDS`` old."""
-        now = self.clock.now()
-        workers = self.cluster_state.workers.values()
-        return sum(now - worker.last_report_at <= REPORT_MAX_AGE_SECONDS for worker in workers)
+    def observe_process(self, worker: Worker, has_restarted: bool, now: float) -> None:
+        """Take note of the process of a worker that has reported.
+
+        :param has_restarted: whether another process had reported before.
+        :param now: time on the local clock, in seconds.
+        """
+        if has_restarted:
+            # An earlier leader cannot start anything on a process that the store does not name.
+            worker.awaits_record = True
+            self.progress_writer.write_requested.set()
+        self.observe_witness(worker, worker.born, now)
+
+    def observe_witness(self, worker: Worker, born: int, now: float) -> None:
+        """Take note that no earlier leader can use a process: it has reported here, or ended.
+
+        :param born: Unix time in milliseconds at which the process started.
+        :param now: time on the local clock, in seconds.
+        """
+        if self.witnesses.observe_process(worker.id, born, now):
+            log.info(
+                "earlier leaders fenced",
+                epoch=self.epoch,
+                seconds=now - self.elected_at,
+                fenced=len(self.witnesses.fenced),
+                witnesses=len(self.witnesses.inherited.processes),
+            )
 
     def log_authority(self) -> None:
         """Log and count each change of what allows this leader to start runs and extend leases."""
-        basis = "store" if self.is_confirmed_by_store else "workers" if self.has_authority else ""
+        now = self.clock.now()
+        basis = self.find_authority(now)
         if basis == self.authority_basis:
             return
         self.authority_basis = basis
@@ -594,9 +656,9 @@
             "authority changed",
             epoch=self.epoch,
             basis=basis or "none",
-            reporting=self.reporting_count,
-            workers=len(self.cluster_state.workers),
-            confirmed_age=self.clock.now() - self.writer.confirmed_at,
+            reporting=self.witnesses.count_recent(self.cluster_state.workers, now),
+            witnesses=len(self.witnesses.recorded.processes),
+            confirmed_age=now - self.writer.confirmed_at,
         )
 
     async def run_scheduling(self) -> None:
@@ -653,16 +715,19 @@
         active are then stopped, and jobs that must not start again are ended if their runs are
         lost.
         """
-        now, timeout = self.clock.now(), self.reconcile_timeout_seconds
+        now, confirmed_at = self.clock.now(), self.writer.confirmed_at
+        timeout_at = self.elected_at + self.reconcile_timeout_seconds
         for worker in self.cluster_state.unreconciled_workers:
             # A worker that has reported has runs of an unknown job and has to report again.
-            since = max(self.elected_at, worker.last_report_at)
+            ends_at = max(timeout_at, worker.last_report_at + self.longest_run_seconds)
             is_new = (
                 worker.last_report_at == -math.inf
                 and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
                 and self.has_reconciled
             )
-            if not is_new and now - since <= timeout:
+            if not is_new and confirmed_at <= ends_at:
+                if now > ends_at:
+                    self.progress_writer.request_confirmation()
                 continue
             worker.is_reconciled = True
             worker.is_unreachable = True
@@ -671,11 +736,9 @@
                     "worker not waited for any longer",
                     worker=worker.id,
                     registered=worker.is_registered,
-                    seconds=now - since,
-                    timeout=timeout,
-                    reported=len(self.cluster_state.workers)
-                    - len(self.cluster_state.unreconciled_workers),
-                    workers=len(self.cluster_state.workers),
+                    seconds=now - self.elected_at,
+                    fenced=len(self.witnesses.fenced),
+                    witnesses=len(self.witnesses.inherited.processes),
                 )
         if self.has_reconciled:
             return
@@ -688,21 +751,15 @@
             log.info("workers reconciled", epoch=self.epoch, seconds=now - self.elected_at)
 
     @property
-    def reconcile_timeout_seconds(self) -> float:
-        """Time after its election from which no run of an earlier leader is active anywhere.
+    def longest_run_seconds(self) -> float:
+        """Longest time for which a run goes on after the last extension of its lease."""
+        return self.cluster_state.longest_lease_seconds + RECONCILE_MARGIN_SECONDS
 
-        It covers the age of reports up to which an earlier leader still starts runs and extends
-        leases, and the longest lease.
-        """
-        timeout = (
-            REPORT_MAX_AGE_SECONDS
-            + self.cluster_state.longest_lease_seconds
-            + RECONCILE_MARGIN_SECONDS
-        )
-        unreconciled = len(self.cluster_state.unreconciled_workers)
-        if 2 * unreconciled >= len(self.cluster_state.workers):
-            return max(timeout, RECONCILE_MINORITY_TIMEOUT_SECONDS)
-        return timeout
+    @property
+    def reconcile_timeout_seconds(self) -> float:
+        """Time after its election from which no unknown run of an earlier leader is active."""
+        authority_seconds = self.witnesses.earlier_authority_ends_at - self.elected_at
+        return authority_seconds + self.longest_run_seconds
 
     async def run_periodic_checks(self) -> None:
         """Open due occurrences, expire leases and remove deregistered workers, until cancelled.
@@ -715,18 +772,34 @@
             self.log_authority()
             self.cluster_state.open_due_occurrences(self.wall_clock())
             for worker in self.cluster_state.crashes.settle_ended_processes():
+                self.observe_witness(worker, worker.latest_born, now)
                 self.drop_worker(worker)
-            for worker in self.cluster_state.expire_leases(now):
+            for worker in self.expire_leases(now):
                 log.info(
                     "lease expired",
                     worker=worker.id,
                     seconds_since_report=now - worker.last_report_at,
                 )
             for worker in list(self.cluster_state.workers.values()):
-                if not worker.is_registered and not worker.runs and now > worker.lease_expires_at:
+                has_ended = self.writer.confirmed_at > worker.lease_expires_at
+                if not worker.is_registered and not worker.runs and has_ended:
                     self.drop_worker(worker)
             self.scheduling_requested.set()
 
+    def expire_leases(self, now: float) -> list[Worker]:
+        """Mark the runs of workers whose lease has expired as lost; return these workers.
+
+        It is judged as of the last confirmed write: a newer leader, which may have been elected
+        since, may have adopted the runs and extended their lease.
+
+        :param now: time on the local clock, in seconds.
+        """
+        confirmed_at = self.writer.confirmed_at
+        workers = self.cluster_state.workers.values()
+        if any(each.runs and confirmed_at <= each.lease_expires_at < now for each in workers):
+            self.progress_writer.request_confirmation()
+        return self.cluster_state.expire_leases(confirmed_at)
+
     def drop_worker(self, worker: Worker) -> None:
         """Remove a deregistered worker on which nothing can run."""
         if not worker.is_reconciled:
@@ -765,19 +838,26 @@
         session = self.sessions.get(worker.id)
         if session is None:
             return
-        run.start_deadline = self.cluster_state.extend_lease(worker, self.clock.now())
+        deadline = self.grant_lease(worker, self.clock.now())
+        if deadline is None:
+            self.release_unsent_run(run, "another daemon may lead")
+            return
+        run.start_deadline = deadline
         session.wake_event.set()
-        state = run.step.job
+        state, born = run.step.job, worker.latest_born
         if not state.spec.is_repeatable or state.crash_suspects:
-            if not await self.progress_writer.wait_until_start_recorded(run, START_TIMEOUT_SECONDS):
+            is_recorded = await self.progress_writer.wait_until_start_recorded(
+                run, START_TIMEOUT_SECONDS
+            )
+            deadline = self.grant_lease(worker, self.clock.now()) if is_recorded else None
+            if deadline is None:
                 log.info("start not recorded in time", task=str(run.task), attempt=run.attempt)
                 self.cluster_state.apply_start_response(
                     run, StartResponse.EXPIRED, self.clock.now()
                 )
                 return
-            run.start_deadline = self.cluster_state.extend_lease(worker, self.clock.now())
+            run.start_deadline = deadline
         task = run.step.tasks[run.task.index]
-        deadline = run.start_deadline
         request = StartRequest(run.task, run.attempt, state.spec.payload, task.checkpoint, deadline)
         for tries in itertools.count(1):
             if worker.runs.get(run.key) is not run:
@@ -787,7 +867,7 @@
                     self.release_unsent_run(run, "run stopped before its start was sent")
                 return
             is_known = self.cluster_state.is_capacity_known(worker, self.clock.now())
-            if worker.is_overcommitted or not is_known:
+            if worker.is_overcommitted or not is_known or worker.latest_born != born:
                 self.withdraw_start(run, is_sent=tries > 1)
                 return
             sent_at = self.clock.now()
@@ -841,9 +921,9 @@
         :param is_sent: whether its start request has been sent.
         """
         if is_sent:
-            self.give_up_start(run, "worker overcommitted or its capacity unknown")
+            self.give_up_start(run, "worker overcommitted, restarted or its capacity unknown")
             return
-        self.release_unsent_run(run, "worker overcommitted or its capacity unknown")
+        self.release_unsent_run(run, "worker overcommitted, restarted or its capacity unknown")
 
     def release_unsent_run(self, run: Run, reason: str) -> None:
         """Release a run whose start request has not been sent.
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,6 +22,7 @@
     worker_key,
 )
 from jaypier.jobs.state import JobState, Run, Worker
+from jaypier.jobs.witnesses import WITNESSES_KEY
 from jaypier.platform import PlatformUnavailable, Put
 
 if TYPE_CHECKING:
@@ -38,8 +40,8 @@
 MAX_REFUSALS_PER_WRITE = 40
 """Rows of refusals deleted by one write, which has a condition and a deletion for each."""
 
-LEARNED_ROWS = 1
-"""Rows of one write that are left for what the leader has learned."""
+OTHER_ROWS = 2
+"""Rows of one write that are left for the witnesses and for what the leader has learned."""
 
 MAX_WRITE_BYTES = 1 << 17
 """Total length of the values of one write: in base64 it takes 0.3 s to send at 5 Mbit/s, so that a
@@ -73,12 +75,14 @@
 
     :param leader: leader whose state is written.
     :ivar write_requested: set when there are changes to write.
+    :ivar is_confirmation_requested: whether a write is needed even if there are no changes.
     :ivar start_recorded: notified after each write, as it may have recorded first starts of jobs.
     """
 
     def __init__(self, leader: "Leader") -> None:
         self.leader = leader
         self.write_requested = asyncio.Event()
+        self.is_confirmation_requested = False
         self.start_recorded = asyncio.Condition()
         self.saved_pending: dict[str, int] = {}
         self.saved_workers: dict[str, SavedWorker] = {}
@@ -95,6 +99,12 @@
             self.write_requested.clear()
             await self.save_changes()
 
+    def request_confirmation(self) -> None:
+        """Have the store confirm soon that no other daemon leads."""
+        if not self.is_confirmation_requested:
+            self.is_confirmation_requested = True
+            self.write_requested.set()
+
     async def save_changes(self) -> None:
         """Write the progress of changed jobs, then acknowledge the ended runs that it covers."""
         leader = self.leader
@@ -110,13 +120,21 @@
         recorded = [(state.spec.id, str(state.status)) for state in states]
         started = [state for state in states if state.has_started]
         puts += self.pending_puts()
-        row_limit = MAX_ROWS_PER_WRITE - len(puts) - LEARNED_ROWS
+        row_limit = MAX_ROWS_PER_WRITE - len(puts) - OTHER_ROWS
         current, worker_puts, deletes = self.worker_changes(row_limit)
-        puts += worker_puts
+        puts += worker_puts + self.witness_puts(current)
+        is_confirmation_due = bool(self.is_confirmation_requested or leader.unconfirmed_jobs)
+        self.is_confirmation_requested = False
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
-        if puts or deletes or renew or leader.unconfirmed_jobs:
+        if puts or deletes or renew or is_confirmation_due:
             puts += self.learned_puts()
-            await leader.writer.write(puts, deletes, renew)
+            left_out = await leader.writer.write(puts, deletes, renew)
+            leader.witnesses.end_change(WITNESSES_KEY not in left_out)
+            current = {
+                worker_id: record
+                for worker_id, record in current.items()
+                if worker_key(worker_id) not in left_out
+            }
         self.apply_saved_workers(current)
         self.confirm_jobs()
         for job_id, status in recorded:
@@ -202,6 +220,19 @@
                 worker.last_durable_end = max(worker.last_durable_end, number)
                 self.leader.sessions[worker_id].wake_event.set()
 
+    def witness_puts(self, workers: Collection[str]) -> list[Put]:
+        """Return the row of the witnesses if they are to change.
+
+        :param workers: ids of the workers that the store records with the same write.
+        """
+        leader = self.leader
+        now = leader.clock.now()
+        chosen = leader.witnesses.choose(leader.cluster_state.workers.values(), workers, now)
+        if chosen is None:
+            return []
+        leader.witnesses.begin_change(chosen, now)
+        return [Put(WITNESSES_KEY, to_compact(chosen))]
+
     def pending_puts(self) -> list[Put]:
         """Return the row with the numbers of queued jobs if they have changed and it is due."""
         now = self.leader.clock.now()
@@ -238,7 +269,8 @@
             if len(puts) == limit or size > MAX_WORKER_BYTES:
                 self.write_requested.set()
                 break
-            value = WorkerRecord(worker.entry, current.tasks).to_value()
+            entry = attrs.evolve(worker.entry, born=current.born)
+            value = WorkerRecord(entry, current.tasks).to_value()
             length = encoded_size(value)
             if length > self.leader.table.max_row_bytes:
                 log.warning("row of a worker left out: too long", worker=worker_id)
@@ -260,19 +292,18 @@
         The tasks on a worker that accepts no more can only be told once all of its runs are known.
         """
         if worker.accepts_tasks:
-            return SavedWorker(worker.entry.born, None)
+            return SavedWorker(worker.latest_born, None)
         if not worker.is_reconciled or worker.has_unknown_runs:
             return None
         tasks = frozenset(run.task for run in worker.runs.values())
         is_unused = not tasks and worker.id not in self.saved_workers
-        return None if is_unused else SavedWorker(worker.entry.born, tasks)
+        return None if is_unused else SavedWorker(worker.latest_born, tasks)
 
     def apply_saved_workers(self, saved: dict[str, SavedWorker]) -> None:
         """Take over which workers the store records now; tasks may start on these."""
         self.saved_workers = saved
         for worker in self.leader.cluster_state.workers.values():
-            record = saved.get(worker.id)
-            awaits_record = record is None or record.tasks is not None
+            awaits_record = saved.get(worker.id) != SavedWorker(worker.latest_born, None)
             if worker.awaits_record and not awaits_record:
                 self.leader.scheduling_requested.set()
             worker.awaits_record = awaits_record
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -124,7 +124,7 @@
         is_same_process = (
             not worker.is_unreachable
             and worker.entry.born <= worker.born
-            and now - worker.last_report_at <= ACKNOWLEDGEMENT_MAX_AGE_SECONDS
+            and now - worker.report_requested_at <= ACKNOWLEDGEMENT_MAX_AGE_SECONDS
         )
         is_needed = worker.last_durable_end > self.last_acknowledged
         return worker.last_durable_end if is_same_process and is_needed else 0
@@ -136,13 +136,8 @@
         sent_at = leader.clock.now()
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
-        if (
-            worker.is_reconciled
-            and worker.runs
-            and not worker.is_unreachable
-            and leader.has_authority
-        ):
-            deadline = leader.cluster_state.extend_lease(worker, sent_at)
+        if worker.is_reconciled and worker.runs and not worker.is_unreachable:
+            deadline = leader.grant_lease(worker, sent_at)
         is_waiting_for_end = deadline is not None or worker.has_unknown_runs
         wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
         if worker.last_processed_end > worker.last_durable_end:
@@ -158,6 +153,7 @@
         had_unknown_runs = worker.has_unknown_runs
         ends, unknown = leader.cluster_state.apply_report(worker, report, sent_at, now)
         has_restarted = worker.born != born
+        leader.observe_process(worker, has_restarted, now)
         self.last_acknowledged = 0 if has_restarted else max(self.last_acknowledged, acknowledged)
         if was_unreachable:
             log.info("worker reachable", worker=worker.id)
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -360,6 +360,8 @@
     :param clock_read_at: time on the local clock, in seconds, at which ``clock`` was received.
     :param last_report_at: time on the local clock, in seconds, of the newest report, ``-inf``
         before the first.
+    :param report_requested_at: time on the local clock, in seconds, at which the newest report was
+        requested. What a report shows holds from then on only.
     :param lease_expires_at: time on the local clock, in seconds, after which nothing runs on the
         worker unless its lease is extended.
     :param last_processed_end: sequence number of the last ended run that has been applied to this
@@ -398,6 +400,7 @@
     clock: int = 0
     clock_read_at: float = 0.0
     last_report_at: float = -math.inf
+    report_requested_at: float = -math.inf
     lease_expires_at: float = -math.inf
     last_processed_end: int = 0
     last_durable_end: int = 0
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -7,12 +7,13 @@
 
 from jaypier.jobs.contained_planning import SET_ASIDE_SECONDS
 from jaypier.jobs.election import LEADER_KEY
-from jaypier.jobs.leader import REPORT_MAX_AGE_SECONDS, START_TIMEOUT_SECONDS
+from jaypier.jobs.leader import START_TIMEOUT_SECONDS
 from jaypier.jobs.learned import LEARNED_KEY
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
 from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
+from jaypier.jobs.witnesses import REPORT_MAX_AGE_SECONDS
 from jaypier.jobs.worker_interface import WorkerUnreachable
 from jaypier.platform import Put, Transaction
 from jaypier.scheduling.overload import OverloadSettings, decode_summary
