--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -284,6 +284,15 @@
                 self.record_crash(worker_id, process)
         return ended
 
+    def unheard_successors(self) -> list[Worker]:
+        """Return the workers whose next report shows that a silent process has ended."""
+        workers = self.cluster_state.workers
+        if not any(each.is_unreachable for each in workers.values()):
+            return []
+        newest = newest_by_machine(workers.values())
+        successors = (find_successor(each, newest) for each in workers.values())
+        return [each for each in successors if each is not None]
+
     def record_crash(self, worker_id: str, process: SilentProcess) -> None:
         """Attribute the crash of a process to the runs that may have caused it."""
         self.silent.pop(worker_id, None)
@@ -361,16 +370,25 @@
     return newest
 
 
-def has_ended(worker: Worker, newest: dict[str, Worker]) -> bool:
-    """Whether the process of a worker that does not respond has been followed by another one.
+def find_successor(worker: Worker, newest: dict[str, Worker]) -> Worker | None:
+    """Return the worker whose report shows that the process of a silent worker has ended.
 
-    The other one has reported since, from the same place.
+    It runs a later process of the same machine, in the same place.
 
     :param newest: worker with the newest process by machine.
     """
     successor = newest.get(worker.entry.machine)
     if successor is None or not worker.is_unreachable:
-        return False
+        return None
     place, other_place = ((each.entry.data_centre, each.entry.rack) for each in (worker, successor))
     is_later = successor.born > worker.latest_born
-    return is_later and successor.last_report_at > worker.silent_since and place == other_place
+    return successor if is_later and place == other_place else None
+
+
+def has_ended(worker: Worker, newest: dict[str, Worker]) -> bool:
+    """Whether the process of a worker has been followed by one that has reported since.
+
+    :param newest: worker with the newest process by machine.
+    """
+    successor = find_successor(worker, newest)
+    return successor is not None and successor.last_report_at > worker.silent_since
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -48,6 +48,7 @@
 class WorkerSession:
     """Renews the lease of one worker and applies its reports.
 
+    :ivar is_report_requested: whether the worker is to be polled even if it is idle.
     :ivar wake_event: set when the worker is to be polled before its regular time.
     :ivar last_acknowledged: number of the last ended run that the worker may have forgotten.
     """
@@ -58,6 +59,7 @@
         self.link = leader.open_link(worker.entry)
         self.address = worker.entry.address
         self.wake_event = asyncio.Event()
+        self.is_report_requested = False
         self.last_acknowledged = 0
         self.is_closed = False
 
@@ -67,6 +69,11 @@
         self.wake_event.set()
         self.link.close()
 
+    def request_report(self) -> None:
+        """Poll the worker at once, even if it is idle."""
+        self.is_report_requested = True
+        self.wake_event.set()
+
     async def run(self) -> None:
         """Renew the lease and apply reports until the session is closed.
 
@@ -133,6 +140,7 @@
         """Renew the lease once and apply the report."""
         worker, leader = self.worker, self.leader
         self.wake_event.clear()
+        self.is_report_requested = False
         sent_at = leader.clock.now()
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
@@ -189,10 +197,11 @@
         if worker.last_processed_end > worker.last_durable_end:
             await self.wait_for_wake(LONG_POLL_SECONDS)
             return
-        while self.is_idle and not self.is_closed:
+        while self.is_idle and not self.is_closed and not self.is_report_requested:
             await self.wait_for_wake(IDLE_CHECK_SECONDS)
             clock_age = leader.clock.now() - worker.clock_read_at
-            if not leader.is_confirmed_by_store or clock_age > CLOCK_MAX_AGE_SECONDS:
+            is_due = self.is_report_requested or clock_age > CLOCK_MAX_AGE_SECONDS
+            if is_due or not leader.is_confirmed_by_store:
                 return
 
     @property
