--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -225,12 +225,12 @@
 
         :param workers: ids of the workers that the store records with the same write.
         """
-        leader = self.leader
-        now = leader.clock.now()
-        chosen = leader.witnesses.choose(leader.cluster_state.workers.values(), workers, now)
+        witnesses, cluster_state = self.leader.witnesses, self.leader.cluster_state
+        now = self.leader.clock.now()
+        chosen = witnesses.choose(cluster_state.workers.values(), workers, now)
         if chosen is None:
             return []
-        leader.witnesses.begin_change(chosen, now)
+        witnesses.begin_change(chosen)
         return [Put(WITNESSES_KEY, to_compact(chosen))]
 
     def pending_puts(self) -> list[Put]:
--- a/src/jaypier/jobs/tests/test_witnesses.py
+++ b/src/jaypier/jobs/tests/test_witnesses.py
@@ -84,7 +84,7 @@
     def test_change_without_a_response_needs_a_majority_before_and_after(self):
         workers = make_workers(6)
         witnesses = make_witnesses(make_workers(3))
-        witnesses.begin_change(WitnessSet({f"worker-{number}": 1 for number in (3, 4, 5)}), 0.0)
+        witnesses.begin_change(WitnessSet({f"worker-{number}": 1 for number in (3, 4, 5)}))
         assert witnesses.have_confirmed(workers, 1.0)
         for missing in (("worker-0", "worker-1"), ("worker-3", "worker-4")):
             rest = {name: each for name, each in workers.items() if name not in missing}
@@ -125,7 +125,7 @@
     def test_row_stays_while_a_change_is_unconfirmed(self):
         workers = make_workers(4)
         witnesses = make_witnesses({})
-        witnesses.begin_change(WitnessSet({"worker-0": 1}), 0.0)
+        witnesses.begin_change(WitnessSet({"worker-0": 1}))
         assert witnesses.choose(workers.values(), workers, 10.0) is None
 
     def test_silent_workers_stay_and_do_not_join(self):
@@ -152,7 +152,7 @@
     def test_changes_are_made_together(self):
         workers = make_workers(3)
         witnesses = make_witnesses({"worker-0": workers["worker-0"]})
-        witnesses.changed_at = 9.5
+        witnesses.checked_at = 9.5
         assert witnesses.choose(workers.values(), workers, 10.0) is None
         assert len(witnesses.choose(workers.values(), workers, 10.6).processes) == 3
 
--- a/src/jaypier/jobs/witnesses.py
+++ b/src/jaypier/jobs/witnesses.py
@@ -31,8 +31,8 @@
 LONGEST_AUTHORITY_SECONDS = 1.03 * MAX_SECONDS_WITHOUT_STORE
 """The same time on the clock of another VM, whose rate differs."""
 
-CHANGE_INTERVAL_SECONDS = 1.0
-"""Shortest time between two changes of the row, so that a series of crashes is one change."""
+CHECK_INTERVAL_SECONDS = 1.0
+"""Time between two changes of the row at least, so that a series of crashes is one change."""
 
 
 @attrs.frozen
@@ -73,7 +73,7 @@
     :ivar recorded: newest set that the store has confirmed.
     :ivar unconfirmed: set that a write without a response may have recorded, ``None`` if there is
         none.
-    :ivar changed_at: time of the last change of the row by this leader.
+    :ivar checked_at: time at which this leader last compared the row with the workers.
     """
 
     def __init__(self, elected_at: float) -> None:
@@ -83,7 +83,7 @@
         self.fenced_at = math.inf
         self.recorded = WitnessSet()
         self.unconfirmed: WitnessSet | None = None
-        self.changed_at = -math.inf
+        self.checked_at = -math.inf
 
     # Earlier leaders
 
@@ -159,9 +159,10 @@
         :param recorded_ids: ids of the workers that the store records with that write.
         """
         may_earlier_act = math.isinf(self.fenced_at) and now <= self.longest_authority_ends_at
-        is_early = self.recorded.processes and now - self.changed_at < CHANGE_INTERVAL_SECONDS
+        is_early = self.recorded.processes and now - self.checked_at < CHECK_INTERVAL_SECONDS
         if may_earlier_act or is_early or self.unconfirmed is not None:
             return None
+        self.checked_at = now
         candidates = {each.id: each for each in workers if each.id in recorded_ids}
         chosen = {
             worker_id: born
@@ -176,9 +177,9 @@
         )
         return None if chosen == self.recorded.processes else WitnessSet(chosen)
 
-    def begin_change(self, witnesses: WitnessSet, now: float) -> None:
+    def begin_change(self, witnesses: WitnessSet) -> None:
         """Record that a write with a new set is about to be sent."""
-        self.unconfirmed, self.changed_at = witnesses, now
+        self.unconfirmed = witnesses
 
     def end_change(self, is_applied: bool) -> None:
         """Record that the write has been confirmed, or that the store has refused the row."""
