--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -48,6 +48,7 @@
 class WorkerSession:
     """Renews the lease of one worker and applies its reports.
 
+    :ivar is_report_requested: whether the worker is to be polled even if it is idle.
     :ivar wake_event: set when the worker is to be polled before its regular time.
     :ivar last_acknowledged: number of the last ended run that the worker may have forgotten.
     """
@@ -58,6 +59,7 @@
         self.link = leader.open_link(worker.entry)
         self.address = worker.entry.address
         self.wake_event = asyncio.Event()
+        self.is_report_requested = False
         self.last_acknowledged = 0
         self.is_closed = False
 
@@ -67,6 +69,11 @@
         self.wake_event.set()
         self.link.close()
 
+    def request_report(self) -> None:
+        """Poll the worker at once, even if it is idle."""
+        self.is_report_requested = True
+        self.wake_event.set()
+
     async def run(self) -> None:
         """Renew the lease and apply reports until the session is closed.
 
@@ -124,7 +131,7 @@
         is_same_process = (
             not worker.is_unreachable
             and worker.entry.born <= worker.born
-            and now - worker.last_report_at <= ACKNOWLEDGEMENT_MAX_AGE_SECONDS
+            and now - worker.report_requested_at <= ACKNOWLEDGEMENT_MAX_AGE_SECONDS
         )
         is_needed = worker.last_durable_end > self.last_acknowledged
         return worker.last_durable_end if is_same_process and is_needed else 0
@@ -133,16 +140,12 @@
         """Renew the lease once and apply the report."""
         worker, leader = self.worker, self.leader
         self.wake_event.clear()
+        self.is_report_requested = False
         sent_at = leader.clock.now()
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
-        if (
-            worker.is_reconciled
-            and worker.runs
-            and not worker.is_unreachable
-            and leader.has_authority
-        ):
-            deadline = leader.cluster_state.extend_lease(worker, sent_at)
+        if worker.is_reconciled and worker.runs and not worker.is_unreachable:
+            deadline = leader.grant_lease(worker, sent_at)
         is_waiting_for_end = deadline is not None or worker.has_unknown_runs
         wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
         if worker.last_processed_end > worker.last_durable_end:
@@ -158,6 +161,7 @@
         had_unknown_runs = worker.has_unknown_runs
         ends, unknown = leader.cluster_state.apply_report(worker, report, sent_at, now)
         has_restarted = worker.born != born
+        leader.observe_process(worker, has_restarted, now)
         self.last_acknowledged = 0 if has_restarted else max(self.last_acknowledged, acknowledged)
         if was_unreachable:
             log.info("worker reachable", worker=worker.id)
@@ -193,10 +197,11 @@
         if worker.last_processed_end > worker.last_durable_end:
             await self.wait_for_wake(LONG_POLL_SECONDS)
             return
-        while self.is_idle and not self.is_closed:
+        while self.is_idle and not self.is_closed and not self.is_report_requested:
             await self.wait_for_wake(IDLE_CHECK_SECONDS)
             clock_age = leader.clock.now() - worker.clock_read_at
-            if not leader.is_confirmed_by_store or clock_age > CLOCK_MAX_AGE_SECONDS:
+            is_due = self.is_report_requested or clock_age > CLOCK_MAX_AGE_SECONDS
+            if is_due or not leader.is_confirmed_by_store:
                 return
 
     @property
--- a/src/jaypier/jobs/tests/test_takeover.py
+++ b/src/jaypier/jobs/tests/test_takeover.py
@@ -5,13 +5,9 @@
 
 import pytest
 
-from jaypier.jobs.leader import (
-    RECONCILE_MARGIN_SECONDS,
-    RECONCILE_MINORITY_TIMEOUT_SECONDS,
-    REPORT_MAX_AGE_SECONDS,
-)
 from jaypier.jobs.model import Job, JobStatus, RunOutcome
 from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step, run_scenario
+from jaypier.jobs.witnesses import LONGEST_AUTHORITY_SECONDS, REPORT_MAX_AGE_SECONDS
 from standins.cluster import MemoryWorker
 from standins.pauses import Pauses
 
@@ -511,10 +507,11 @@
             await self.lose(harness, workers)
             for number in range(lost):
                 harness.cluster.add_worker(f"added-{number}")
+            run_seconds = harness.leaders[harness.leader_name].longest_run_seconds
             await harness.wait_until(
                 lambda: has_started(harness, waiting)
                 and len(runs_of(harness, running)) == 6 + lost,
-                RECONCILE_MINORITY_TIMEOUT_SECONDS + 1.0,
+                LONGEST_AUTHORITY_SECONDS + run_seconds + 1.0,
             )
             await harness.wait_status(running, JobStatus.COMPLETED, 150.0 + 1.0)
 
@@ -575,13 +572,8 @@
                 worker.crash()
                 harness.cluster.unregister(worker)
             await take_over(harness, old)
-            wait = (
-                RECONCILE_MINORITY_TIMEOUT_SECONDS
-                if departed > 1
-                else REPORT_MAX_AGE_SECONDS
-                + leader.cluster_state.longest_lease_seconds
-                + RECONCILE_MARGIN_SECONDS
-            )
+            wait = REPORT_MAX_AGE_SECONDS if departed == 1 else LONGEST_AUTHORITY_SECONDS
+            wait += leader.longest_run_seconds
             await harness.wait_until(lambda: has_started(harness, job), wait + 1.0)
 
         run_scenario(scenario, workers=12)
--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -25,17 +25,23 @@
     """Pauses of VMs, for tasks that are created after this; all VMs are resumed at its end.
 
     :param cluster: cluster whose links to workers stay at work while their VM is paused.
+    :ivar exchanges: requests to workers that are under way.
     """
 
     def __init__(self, cluster: MemoryCluster) -> None:
         self.paused: dict[str, asyncio.Event] = {}
+        self.exchanges: set[asyncio.Task] = set()
+        self.is_closed = False
         cluster.link = self.link
         self.cluster = cluster
         asyncio.get_running_loop().set_task_factory(self.create_task)
 
     def __exit__(self, *_exception: object) -> None:
+        self.is_closed = True
         for vm in list(self.paused):
             self.resume(vm)
+        for exchange in self.exchanges:
+            exchange.cancel()
 
     def pause(self, vm: str) -> None:
         """Let no task of a VM take another step."""
@@ -47,7 +53,7 @@
 
     def link(self, vm: str, entry: WorkerEntry) -> "DetachedLink":
         """Return the link from one VM to a worker."""
-        return DetachedLink(MemoryLink(self.cluster.workers[entry.id], vm))
+        return DetachedLink(self, MemoryLink(self.cluster.workers[entry.id], vm))
 
     def create_task(
         self,
@@ -90,7 +96,8 @@
 class DetachedLink(WorkerLink):
     """Link to a worker that carries out the requests that were sent while its VM is paused."""
 
-    def __init__(self, link: MemoryLink) -> None:
+    def __init__(self, pauses: Pauses, link: MemoryLink) -> None:
+        self.pauses = pauses
         self.link = link
 
     async def send(self, request: Coroutine[Any, Any, Any], timeout: float) -> Any:
@@ -98,7 +105,11 @@
 
         :raises WorkerUnreachable: if there is none within ``timeout`` seconds.
         """
+        if self.pauses.is_closed:
+            return await request
         exchange = asyncio.create_task(request, context=Context())
+        self.pauses.exchanges.add(exchange)
+        exchange.add_done_callback(self.pauses.exchanges.discard)
         exchange.add_done_callback(lambda done: done.cancelled() or done.exception())
         try:
             async with asyncio.timeout(timeout):
