Fuzz and test: a run that the new leader has seen end starts again after a restart

The new leader adopts a run, notes its end as done and acknowledges it; the worker then crashes, restarts and answers the earlier leader, which still has a majority of the witnesses. It takes the run for lost at that report and starts the task on another worker: started again after it was completed. The restart of a process shows that the run has ended, but not how, and whether a newer leader knows the end. The same rule that holds for silence without the store (nothing is concluded) isn't applied to restarted processes.

--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -57,7 +57,7 @@
 """Seeds that add to schedules, operators and random faults long cuts between a VM, the store and
 some of the workers, while the other VMs reach others, longer outages, and longer tasks."""
 
-TAKEOVER_REGRESSION_SEEDS = (6023, 6024, 6053, 6056)
+TAKEOVER_REGRESSION_SEEDS = (6023, 6024, 6053, 6056, 6073, 6081, 6104)
 """Seeds outside this range that failed before: both leaders started tasks that were running."""
 
 CLOCK_ERROR_SECONDS = 2.0
--- a/src/jaypier/jobs/tests/test_takeover.py
+++ b/src/jaypier/jobs/tests/test_takeover.py
@@ -335,6 +335,23 @@
 
         run_scenario(scenario, workers=5)
 
+    @pytest.mark.parametrize("seconds", [8.0, 60.0], ids=["run-ended", "run-lost"])
+    def test_run_that_the_new_leader_adopted_is_not_started_again_after_a_restart(self, seconds):
+        async def scenario(harness):
+            job = await start_long_job(harness, 1, seconds)
+            (busy,) = pick_workers(harness, is_busy=True)
+            idle = pick_workers(harness, is_busy=False)
+            old, new = await isolate_leader(harness, idle[:4])
+            await asyncio.sleep(8.0)
+            busy.crash()
+            harness.cluster.cut_links.discard((old, busy.entry.id))
+            cut_links(harness, new, [busy])
+            await asyncio.sleep(0.5)
+            busy.restart()
+            await check_work_is_done_once(harness, job)
+
+        run_scenario(scenario, workers=6)
+
 
 class TestThirdLeader:
     """A leader that reached no majority ends while its predecessor still has one."""
