--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -45,6 +45,8 @@
     :param renewals: number of renewals since the row was claimed.
     :param renewed_at: the store's clock at the last renewal, in seconds. With it, a daemon that
         has just started recognizes at once that the leader has timed out.
+    :param unfenced_since: the store's clock, in seconds, at the election of the first leader since
+        which none has fenced those before it; 0 once the owner has.
     :param load: load of the overloaded pools as plain values, ``None`` while there are none. It is
         decoded where it is used, so that a load of another build does not make the row unreadable.
     """
@@ -53,6 +55,7 @@
     epoch: int
     renewals: int = 0
     renewed_at: float = 0.0
+    unfenced_since: float = 0.0
     load: Any = None
 
 
@@ -151,7 +154,13 @@
         When the row has changed, this daemon still leads if the row names it: an earlier claim
         took effect although its response was lost.
         """
-        record = LeaderRecord(self.owner, self.record.epoch + 1, renewed_at=self.table.store_time())
+        now = self.table.store_time()
+        record = LeaderRecord(
+            self.owner,
+            self.record.epoch + 1,
+            renewed_at=now,
+            unfenced_since=self.record.unfenced_since or now,
+        )
         transaction = Transaction(
             [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_compact(record))]
         )
--- a/src/jaypier/jobs/fenced_writer.py
+++ b/src/jaypier/jobs/fenced_writer.py
@@ -51,6 +51,8 @@
         sent.
     :ivar renewed_at: time on the local clock, in seconds, of the last confirmed renewal.
     :ivar renewal_sent_at: time on the local clock, in seconds, at which it was sent.
+    :ivar is_fence_recorded: whether the leader's row tells that this leader has fenced the earlier
+        ones.
     :ivar elected_version: version of the leader's row at the election.
     """
 
@@ -68,6 +70,7 @@
         self.renewal_sent_at = clock.now() - age
         self.confirmed_at = self.renewal_sent_at
         self.elected_version = version
+        self.is_fence_recorded = False
 
     async def open(self) -> None:
         """Read the version of the row ``turns/turn``."""
@@ -85,8 +88,14 @@
 
     def seconds_to_renewal(self) -> float:
         """Return the seconds until the leadership has to be renewed, 0 when it is due."""
+        if self.record.unfenced_since == 0.0 and not self.is_fence_recorded:
+            return 0.0
         return max(0.0, self.renewed_at + RENEWAL_INTERVAL_SECONDS - self.clock.now())
 
+    def record_fence(self) -> None:
+        """Have the next renewal tell that this leader has fenced the earlier ones."""
+        self.record = attrs.evolve(self.record, unfenced_since=0.0)
+
     async def write(self, puts: list[Put], deletes: list[str], renew: bool) -> frozenset[str]:
         """Write rows, retrying until the store has responded.
 
@@ -151,11 +160,13 @@
                 renewed_at=self.table.store_time(),
                 load=encode_summary(self.summarize_load()),
             )
-            leader_puts.append(Put(LEADER_KEY, to_compact(self.record)))
+            record = self.record
+            leader_puts.append(Put(LEADER_KEY, to_compact(record)))
         version = await self.table.commit(Transaction(conditions, leader_puts + puts, deletes))
         self.sequence_version = version
         if renew:
             self.version = version
+            self.is_fence_recorded = record.unfenced_since == 0.0
             self.renewal_sent_at = sent_at
             self.renewed_at = self.clock.now()
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -184,7 +184,8 @@
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
-        self.witnesses = Witnesses(self.elected_at)
+        unfenced_seconds = writer.record.renewed_at - writer.record.unfenced_since
+        self.witnesses = Witnesses(self.elected_at, self.elected_at - max(0.0, unfenced_seconds))
         self.authority_basis = "store"
         self.unconfirmed_jobs: dict[str, int] = {}
         self.unreadable_jobs: set[str] = set()
@@ -265,6 +266,7 @@
         self.apply_listing(listing, is_complete=True)
         await self.restore_recorded_workers()
         self.restore_witnesses(witnesses)
+        self.record_fence()
         self.is_loaded = True
         log.info(
             "state loaded",
@@ -295,7 +297,6 @@
         :param version: version of the store from which the record was read, for the log.
         """
         worker_id = record.entry.id
-        self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
         if worker_id not in self.cluster_state.workers:
             self.apply_entry(record.entry, now, version)
             self.cluster_state.deregister_worker(worker_id, now)
@@ -306,6 +307,7 @@
             )
         worker = self.cluster_state.workers[worker_id]
         self.cluster_state.restore_recorded_tasks(worker, record.tasks)
+        self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
         if worker.latest_born != record.entry.born:
             worker.awaits_record = True
 
@@ -315,11 +317,11 @@
         Without a readable row, the recorded workers stand in for them: builds before the row was
         introduced counted all workers.
         """
-        saved = self.progress_writer.saved_workers
-        recorded = WitnessSet({worker_id: each.born for worker_id, each in saved.items()})
         rows = [] if row is None else [(row.key, row.value)]
-        decoded = next((each for _, each in decode_valid(rows, decode_witnesses)), recorded)
-        self.witnesses.restore(decoded, self.clock.now())
+        recorded = next((each for _, each in decode_valid(rows, decode_witnesses)), None)
+        saved = self.progress_writer.saved_workers
+        stand_ins = WitnessSet({worker_id: each.born for worker_id, each in saved.items()})
+        self.witnesses.restore(recorded, stand_ins, self.clock.now())
 
     @contextlib.contextmanager
     def contain_row(self, key: str) -> Iterator[None]:
@@ -572,6 +574,8 @@
         if worker.awaits_record or not worker.accepts_tasks:
             self.progress_writer.write_requested.set()
         session = self.sessions.get(entry.id)
+        if session is not None and worker.latest_born != worker.born:
+            session.request_report()
         if session is None or session.worker is not worker:
             session = WorkerSession(self, worker)
             self.sessions[entry.id] = session
@@ -602,7 +606,7 @@
         seconds = now - self.writer.confirmed_at
         if seconds <= STORE_CONFIRMATION_MAX_AGE_SECONDS:
             return "store"
-        if seconds > MAX_SECONDS_WITHOUT_STORE:
+        if seconds > MAX_SECONDS_WITHOUT_STORE or not self.writer.is_fence_recorded:
             return ""
         is_confirmed = self.witnesses.have_confirmed(self.cluster_state.workers, now)
         return "witnesses" if is_confirmed else ""
@@ -643,6 +647,14 @@
                 fenced=len(self.witnesses.fenced),
                 witnesses=len(self.witnesses.inherited.processes),
             )
+            self.record_fence()
+
+    def record_fence(self) -> None:
+        """Have the store record that no earlier leader acts any more, once that is so."""
+        is_recorded = self.writer.record.unfenced_since == 0.0
+        if not is_recorded and not self.witnesses.may_earlier_act(self.clock.now()):
+            self.writer.record_fence()
+            self.progress_writer.write_requested.set()
 
     def log_authority(self) -> None:
         """Log and count each change of what allows this leader to start runs and extend leases."""
@@ -719,7 +731,10 @@
         timeout_at = self.elected_at + self.reconcile_timeout_seconds
         for worker in self.cluster_state.unreconciled_workers:
             # A worker that has reported has runs of an unknown job and has to report again.
-            ends_at = max(timeout_at, worker.last_report_at + self.longest_run_seconds)
+            lease_ends_at = max(
+                worker.last_report_at + self.longest_run_seconds, worker.lease_expires_at
+            )
+            ends_at = max(timeout_at, lease_ends_at)
             is_new = (
                 worker.last_report_at == -math.inf
                 and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
@@ -770,6 +785,7 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             now = self.clock.now()
             self.log_authority()
+            self.record_fence()
             self.cluster_state.open_due_occurrences(self.wall_clock())
             for worker in self.cluster_state.crashes.settle_ended_processes():
                 self.observe_witness(worker, worker.latest_born, now)
@@ -792,7 +808,7 @@
         """Mark the runs of workers whose lease has expired as lost; return these workers.
 
         It is judged as of the last confirmed write: a newer leader, which may have been elected
-        since, may have adopted the runs and extended their lease.
+        since, may have adopted the runs and extended their lease, or recorded their ends.
 
         :param now: time on the local clock, in seconds.
         """
@@ -828,8 +844,8 @@
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead; so it is
         after a refusal that does not prove that the run will not start.
 
-        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime, or
-        is no longer known.
+        The start is withdrawn if the worker's capacity shrinks below its runs in the meantime or
+        is no longer known, if the worker has restarted, or if another daemon may lead.
 
         A task that must not start twice, or whose job may crash its workers, is started only after
         the store has recorded that.
@@ -868,9 +884,9 @@
                 if tries == 1:
                     self.release_unsent_run(run, "run stopped before its start was sent")
                 return
-            is_known = self.cluster_state.is_capacity_known(worker, self.clock.now())
-            if worker.is_overcommitted or not is_known or worker.latest_born != born:
-                self.withdraw_start(run, is_sent=tries > 1)
+            obstacle = self.find_start_obstacle(worker, born)
+            if obstacle:
+                self.withdraw_start(run, obstacle, is_sent=tries > 1)
                 return
             sent_at = self.clock.now()
             try:
@@ -917,15 +933,31 @@
         if verdict is not StartVerdict.RUNNING:
             self.scheduling_requested.set()
 
-    def withdraw_start(self, run: Run, is_sent: bool) -> None:
-        """Release a run that no longer fits on its worker; stop it if it may have started.
+    def find_start_obstacle(self, worker: Worker, born: int) -> str:
+        """Return why no start request may be sent to a worker any more, empty if it may.
 
+        A process that has restarted, or one that is called after a pause of this leader, may not
+        know the epoch of a newer one.
+
+        :param born: Unix time in milliseconds at which the process started that was chosen.
+        """
+        now = self.clock.now()
+        if worker.is_overcommitted or not self.cluster_state.is_capacity_known(worker, now):
+            return "worker overcommitted or its capacity unknown"
+        if worker.latest_born != born:
+            return "worker restarted"
+        return "" if self.find_authority(now) else "another daemon may lead"
+
+    def withdraw_start(self, run: Run, reason: str, is_sent: bool) -> None:
+        """Release a run that is not to start any more; stop it if it may have started.
+
+        :param reason: reason for the log.
         :param is_sent: whether its start request has been sent.
         """
         if is_sent:
-            self.give_up_start(run, "worker overcommitted, restarted or its capacity unknown")
+            self.give_up_start(run, reason)
             return
-        self.release_unsent_run(run, "worker overcommitted, restarted or its capacity unknown")
+        self.release_unsent_run(run, reason)
 
     def release_unsent_run(self, run: Run, reason: str) -> None:
         """Release a run whose start request has not been sent.
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -130,11 +130,7 @@
             puts += self.learned_puts()
             left_out = await leader.writer.write(puts, deletes, renew)
             leader.witnesses.end_change(WITNESSES_KEY not in left_out)
-            current = {
-                worker_id: record
-                for worker_id, record in current.items()
-                if worker_key(worker_id) not in left_out
-            }
+            current = self.without_left_out(current, left_out)
         self.apply_saved_workers(current)
         self.confirm_jobs()
         for job_id, status in recorded:
@@ -299,11 +295,26 @@
         is_unused = not tasks and worker.id not in self.saved_workers
         return None if is_unused else SavedWorker(worker.latest_born, tasks)
 
+    def without_left_out(
+        self, saved: dict[str, SavedWorker], left_out: frozenset[str]
+    ) -> dict[str, SavedWorker]:
+        """Return the saved workers after a write of which the store has refused some rows.
+
+        :param saved: workers as they would be saved by the whole write.
+        :param left_out: keys of the refused rows, which the store holds as before.
+        """
+        unchanged = {each for each in saved if worker_key(each) in left_out}
+        kept = {each: self.saved_workers[each] for each in unchanged & self.saved_workers.keys()}
+        rest = {each: record for each, record in saved.items() if each not in unchanged}
+        return rest | kept
+
     def apply_saved_workers(self, saved: dict[str, SavedWorker]) -> None:
         """Take over which workers the store records now; tasks may start on these."""
         self.saved_workers = saved
         for worker in self.leader.cluster_state.workers.values():
-            awaits_record = saved.get(worker.id) != SavedWorker(worker.latest_born, None)
+            is_recorded = saved.get(worker.id) == SavedWorker(worker.latest_born, None)
+            # Leases are based on the clock of the process that has reported.
+            awaits_record = not is_recorded or worker.born != worker.latest_born
             if worker.awaits_record and not awaits_record:
                 self.leader.scheduling_requested.set()
             worker.awaits_record = awaits_record
--- /dev/null
+++ b/src/jaypier/jobs/tests/test_takeover_sequences.py
@@ -0,0 +1,277 @@
+"""Takeovers beside workers that restart, silent witnesses and rows that are missing."""
+
+import asyncio
+
+from jaypier.jobs.model import JobStatus
+from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step, run_scenario
+from jaypier.jobs.tests.cuts import (
+    check_work_is_done_once,
+    cut_links,
+    isolate_leader,
+    pick_workers,
+    runs_of,
+    start_long_job,
+    take_over,
+)
+from jaypier.jobs.witnesses import WITNESSES_KEY
+from jaypier.platform import Transaction
+from standins.cluster import MemoryWorker
+from standins.pauses import Pauses
+
+
+def recorded_witnesses(harness: LeaderHarness) -> dict[str, int]:
+    """Return the witnesses that the store names, by id."""
+    row = harness.store.rows.get(WITNESSES_KEY)
+    return {} if row is None else dict(row.value["processes"])
+
+
+async def restart_daemons_without_row(harness: LeaderHarness) -> None:
+    """Replace the daemons as after an upgrade: the builds before had written no witnesses."""
+    for name in list(harness.tasks):
+        await harness.kill(name)
+    harness.store.apply(Transaction(deletes=[WITNESSES_KEY]))
+    for name in ("vm-a", "vm-b"):
+        harness.start_daemon(name)
+    await harness.wait_until(lambda: harness.leader_name is not None, 5)
+    leader = harness.leaders[harness.leader_name]
+    await harness.wait_until(lambda: leader.has_reconciled, 5)
+
+
+class TestMissingRow:
+    """No row names the witnesses, as after an upgrade from a build before it."""
+
+    def test_leader_records_the_witnesses_that_it_counts(self):
+        async def scenario(harness):
+            job = await start_long_job(harness, 4, 60.0)
+            await restart_daemons_without_row(harness)
+            await asyncio.sleep(10.0)
+            leader = harness.leaders[harness.leader_name]
+            assert recorded_witnesses(harness) == leader.witnesses.recorded.processes
+            await harness.wait_status(job, JobStatus.COMPLETED, 100)
+
+        run_scenario(scenario, workers=6)
+
+    def test_run_is_not_started_again_after_workers_are_added_beside_a_cut(self):
+        async def scenario(harness):
+            job = await start_long_job(harness, 4)
+            await restart_daemons_without_row(harness)
+            await asyncio.sleep(10.0)
+            busy = pick_workers(harness, is_busy=True)
+            for number in range(6):
+                added = harness.cluster.add_worker(f"added-{number}")
+                cut_links(harness, harness.leader_name, [added])
+            await asyncio.sleep(2.0)
+            await isolate_leader(harness, busy)
+            await check_work_is_done_once(harness, job)
+
+        run_scenario(scenario, workers=6)
+
+
+class TestRestartedIdleWorkers:
+    """Idle workers that restart under their ids."""
+
+    def test_new_processes_become_witnesses_soon(self):
+        async def scenario(harness):
+            await start_long_job(harness, 1, 40.0)
+            idle = pick_workers(harness, is_busy=False)
+            for worker in idle:
+                worker.crash()
+            await asyncio.sleep(1.0)
+            for worker in idle:
+                worker.restart()
+            await asyncio.sleep(5.0)
+            expected = {each.entry.id: each.entry.born for each in harness.cluster.workers.values()}
+            assert recorded_witnesses(harness) == expected
+
+        run_scenario(scenario, workers=6)
+
+    def test_new_processes_know_the_epoch_soon(self):
+        async def scenario(harness):
+            await start_long_job(harness, 1, 40.0)
+            idle = pick_workers(harness, is_busy=False)
+            for worker in idle:
+                worker.crash()
+            await asyncio.sleep(1.0)
+            for worker in idle:
+                worker.restart()
+            await asyncio.sleep(5.0)
+            epoch = harness.leaders[harness.leader_name].epoch
+            assert {each.fencing_epoch for each in idle} == {epoch}
+
+        run_scenario(scenario, workers=6)
+
+
+class TestRepeatedStart:
+    """A start that is tried again reaches the next process of its worker."""
+
+    @staticmethod
+    async def restart(worker: MemoryWorker) -> None:
+        worker.crash()
+        await asyncio.sleep(0.3)
+        worker.restart()
+
+    def test_start_is_not_tried_again_after_a_pause(self):
+        async def scenario(harness):
+            with Pauses(harness.cluster) as pauses:
+                for name in list(harness.tasks):
+                    await harness.kill(name)
+                harness.cluster.link = pauses.link
+                for name in ("vm-a", "vm-b"):
+                    harness.start_daemon(name)
+                running = await start_long_job(harness, 2, 60.0)
+                first, *others = pick_workers(harness, is_busy=False)
+                old = harness.leader_name
+                leader = harness.leaders[old]
+                for worker in others:
+                    harness.cluster.begin_draining(worker)
+                await asyncio.sleep(1.0)
+                # Connections are refused at first; the leader then stands still between two tries.
+                first.refuses_when_cut_off = True
+                cut_links(harness, old, [first])
+                job = make_job(make_step(accelerators=8, seconds=60.0))
+                harness.cluster.submit(job)
+                await harness.wait_until(
+                    lambda: (
+                        first.entry.id in leader.cluster_state.workers
+                        and leader.cluster_state.workers[first.entry.id].runs
+                    ),
+                    2,
+                )
+                await asyncio.sleep(0.3)
+                pauses.pause(old)
+                harness.store.unreachable_vms.add(old)
+                harness.cluster.begin_draining(first)
+                for worker in others:
+                    harness.cluster.end_draining(worker)
+                await take_over(harness, old)
+                await harness.wait_until(lambda: len(runs_of(harness, job)) == 1, 5)
+                await asyncio.sleep(5.0)
+                await self.restart(first)
+                harness.cluster.end_draining(first)
+                await asyncio.sleep(5.0)
+                harness.cluster.cut_links.clear()
+                cut_links(
+                    harness,
+                    old,
+                    [each for each in harness.cluster.workers.values() if each is not first],
+                )
+                pauses.resume(old)
+                await check_work_is_done_once(harness, running, job)
+
+        run_scenario(scenario, workers=4)
+
+
+class TestSilentWitnesses:
+    """Witnesses that do not report to the next leader."""
+
+    def test_job_waits_for_a_silent_worker_as_before_if_most_workers_report(self):
+        # The idle workers had restarted, so that the row names the lost worker alone.
+        async def scenario(harness):
+            await start_long_job(harness, 1, 200.0)
+            (lost,) = pick_workers(harness, is_busy=True)
+            idle = pick_workers(harness, is_busy=False)
+            for worker in idle:
+                worker.crash()
+            await asyncio.sleep(1.0)
+            for worker in idle:
+                worker.restart()
+            await asyncio.sleep(5.0)
+            old = harness.leader_name
+            lost.crash()
+            await harness.kill(old)
+            job = make_job(make_step(accelerators=2, seconds=1.0))
+            harness.cluster.submit(job)
+            await take_over(harness, old)
+            # 3 s and a lease after the majority of the six workers has reported.
+            await harness.wait_until(lambda: bool(runs_of(harness, job)), 11.0)
+
+        run_scenario(scenario, workers=6)
+
+    def test_takeovers_do_not_prolong_the_longest_wait_without_end(self):
+        async def scenario(harness):
+            running = make_job(make_step(count=6, accelerators=5, seconds=3000.0))
+            await harness.start_job(running, 6, 8)
+            await asyncio.sleep(2.0)
+            waiting = make_job(make_step(accelerators=2, seconds=1.0))
+            old = harness.leader_name
+            lost = list(harness.cluster.workers.values())[:4]
+            for worker in lost:
+                worker.crash()
+            await harness.kill(old)
+            harness.cluster.submit(waiting)
+            first = await take_over(harness, old)
+            for worker in lost:
+                harness.cluster.unregister(worker)
+            await asyncio.sleep(600.0)
+            harness.start_daemon(old)
+            await asyncio.sleep(1.0)
+            await harness.kill(first)
+            await take_over(harness, first)
+            await harness.wait_until(lambda: bool(runs_of(harness, waiting)), 400.0)
+
+        run_scenario(scenario, workers=6)
+
+    def test_new_ids_on_the_machines_of_lost_workers_end_the_wait(self):
+        async def scenario(harness):
+            job = make_job(make_step(count=3, accelerators=8, seconds=20.0))
+            harness.cluster.submit(job)
+            await harness.wait_until(lambda: len(harness.cluster.runs) == 3, 8)
+            await asyncio.sleep(2.0)
+            workers = list(harness.cluster.workers.values())
+            for worker in workers:
+                worker.crash()
+            for name in list(harness.tasks):
+                await harness.kill(name)
+            await asyncio.sleep(4.0)
+            for worker in workers:
+                harness.cluster.crashing.replace_worker(worker)
+            harness.start_daemon("vm-c")
+            await harness.wait_until(lambda: harness.leader_name is not None, 3)
+            started_at = harness.clock.now()
+            await harness.wait_until(lambda: len(harness.cluster.runs) > 3, 1000.0)
+            seconds = harness.clock.now() - started_at
+            assert seconds < 3.0, seconds
+
+        run_scenario(scenario, workers=6)
+
+
+class TestClockOfTheNextProcess:
+    """The clock of a worker that restarts under its id starts anew."""
+
+    def test_start_sent_to_a_restarted_worker_is_not_carried_out_after_its_lease(self):
+        async def scenario(harness):
+            for worker in list(harness.cluster.workers.values())[1:]:
+                harness.cluster.begin_draining(worker)
+            await asyncio.sleep(30.0)
+            first, second = harness.cluster.workers.values()
+            first.crash()
+            await asyncio.sleep(1.0)
+            first.restart()
+            await asyncio.sleep(3.0)
+            harness.cluster.delayed_starts, harness.cluster.delay_seconds = 1, 9.0
+            job = make_job(make_step(accelerators=8, seconds=20.0))
+            harness.cluster.submit(job)
+            await harness.wait_until(lambda: harness.cluster.delayed_starts == 0, 2)
+            await asyncio.sleep(0.1)
+            cut_links(harness, harness.leader_name, [first])
+            harness.cluster.end_draining(second)
+            await harness.wait_status(job, JobStatus.COMPLETED, 60)
+            assert harness.cluster.violations == []
+
+        run_scenario(scenario, workers=2)
+
+    def test_start_sent_to_a_worker_that_has_not_restarted_is_not_carried_out_after_its_lease(self):
+        async def scenario(harness):
+            first, second = harness.cluster.workers.values()
+            harness.cluster.begin_draining(second)
+            await asyncio.sleep(34.0)
+            harness.cluster.delayed_starts, harness.cluster.delay_seconds = 1, 9.0
+            job = make_job(make_step(accelerators=8, seconds=20.0))
+            harness.cluster.submit(job)
+            await harness.wait_until(lambda: harness.cluster.delayed_starts == 0, 2)
+            await asyncio.sleep(0.1)
+            cut_links(harness, harness.leader_name, [first])
+            harness.cluster.end_draining(second)
+            await harness.wait_status(job, JobStatus.COMPLETED, 60)
+
+        run_scenario(scenario, workers=2)
--- a/src/jaypier/jobs/tests/test_witnesses.py
+++ b/src/jaypier/jobs/tests/test_witnesses.py
@@ -6,6 +6,7 @@
 from jaypier.jobs.state import Worker
 from jaypier.jobs.tests.builders import make_entry
 from jaypier.jobs.witnesses import (
+    LONGEST_AUTHORITY_SECONDS,
     MAX_WITNESSES,
     REPORT_MAX_AGE_SECONDS,
     Witnesses,
@@ -31,9 +32,9 @@
 
 def make_witnesses(workers: dict[str, Worker], is_inherited: bool = False) -> Witnesses:
     """Return the witnesses of a leader that was elected at 0 s, which include all workers."""
-    witnesses = Witnesses(0.0)
+    witnesses = Witnesses(0.0, 0.0)
     processes = WitnessSet({each.id: each.born for each in workers.values()})
-    witnesses.restore(processes if is_inherited else WitnessSet(), 0.0)
+    witnesses.restore(processes if is_inherited else None, WitnessSet(), 0.0)
     witnesses.recorded = processes
     return witnesses
 
@@ -108,6 +109,23 @@
         assert not witnesses.observe_process("worker-0", 1, 5.0)
         assert witnesses.observe_process("worker-0", 3, 5.0)
 
+    def test_longest_wait_counts_from_the_first_leader_without_a_fence(self):
+        witnesses = Witnesses(1000.0, 400.0)
+        witnesses.restore(WitnessSet({"worker-0": 1}), WitnessSet(), 1000.0)
+        assert witnesses.earlier_authority_ends_at == 400.0 + LONGEST_AUTHORITY_SECONDS
+        witnesses.unfenced_since = 0.0
+        assert witnesses.earlier_authority_ends_at == 1000.0 + REPORT_MAX_AGE_SECONDS
+
+    def test_stand_ins_are_waited_for_and_give_no_authority(self):
+        # Regression (TWICE): the next leader cannot know of witnesses that the store doesn't name.
+        workers = make_workers(3)
+        witnesses = Witnesses(0.0, 0.0)
+        witnesses.restore(None, WitnessSet(dict.fromkeys(workers, 1)), 0.0)
+        assert not witnesses.have_confirmed(workers, 1.0)
+        assert witnesses.earlier_authority_ends_at > 900.0
+        assert not witnesses.observe_process("worker-0", 1, 5.0)
+        assert witnesses.observe_process("worker-1", 1, 5.0)
+
     def test_without_witnesses_no_earlier_leader_is_waited_for(self):
         assert make_witnesses({}).earlier_authority_ends_at == REPORT_MAX_AGE_SECONDS
 
--- a/src/jaypier/jobs/witnesses.py
+++ b/src/jaypier/jobs/witnesses.py
@@ -66,6 +66,8 @@
     Times are on the leader's local clock, in seconds.
 
     :param elected_at: time at which the leadership began.
+    :param unfenced_since: time of the election of the first leader since which none has recorded
+        that it has fenced the earlier ones.
     :ivar inherited: witnesses that earlier leaders may count, read after the election.
     :ivar fenced: ids of those that cannot answer an earlier leader any more: they have reported to
         this one, or their processes have ended.
@@ -76,8 +78,9 @@
     :ivar checked_at: time at which this leader last compared the row with the workers.
     """
 
-    def __init__(self, elected_at: float) -> None:
+    def __init__(self, elected_at: float, unfenced_since: float) -> None:
         self.elected_at = elected_at
+        self.unfenced_since = unfenced_since
         self.inherited = WitnessSet()
         self.fenced: set[str] = set()
         self.fenced_at = math.inf
@@ -87,13 +90,18 @@
 
     # Earlier leaders
 
-    def restore(self, inherited: WitnessSet, now: float) -> None:
+    def restore(self, recorded: WitnessSet | None, stand_ins: WitnessSet, now: float) -> None:
         """Take over the set of the earlier leaders; without witnesses, none of them is waited for.
 
         To be called before any report is observed.
+
+        :param recorded: set that the store holds, ``None`` if there is none.
+        :param stand_ins: witnesses whose reports are waited for in that case. As the store does not
+            name them, this leader does not go on by their answers.
         """
-        self.inherited = self.recorded = inherited
-        if not inherited.processes:
+        self.inherited = stand_ins if recorded is None else recorded
+        self.recorded = WitnessSet() if recorded is None else recorded
+        if not self.inherited.processes:
             self.fenced_at = now
 
     def observe_process(self, worker_id: str, born: int, now: float) -> bool:
@@ -113,8 +121,16 @@
 
     @property
     def longest_authority_ends_at(self) -> float:
-        """Time after which no earlier leader acts, whatever the witnesses have answered."""
-        return self.elected_at + LONGEST_AUTHORITY_SECONDS
+        """Time after which no earlier leader acts, whatever the witnesses have answered.
+
+        Leaders that have not recorded a fence do not go on by the answers of witnesses.
+        """
+        by_witnesses = self.unfenced_since + LONGEST_AUTHORITY_SECONDS
+        return max(by_witnesses, self.elected_at + REPORT_MAX_AGE_SECONDS)
+
+    def may_earlier_act(self, now: float) -> bool:
+        """Whether it is not shown yet that every earlier leader has lost its authority for good."""
+        return math.isinf(self.fenced_at) and now <= self.longest_authority_ends_at
 
     @property
     def earlier_authority_ends_at(self) -> float:
@@ -126,27 +142,17 @@
 
     def count_recent(self, workers: Mapping[str, Worker], now: float) -> int:
         """Return how many of the recorded witnesses have answered recently."""
-        return len(self.find_recent(self.recorded, workers, now))
+        return count_recent_answers(self.recorded, workers, now)
 
     def have_confirmed(self, workers: Mapping[str, Worker], now: float) -> bool:
-        """Whether enough witnesses have answered recently, so that no newer leader has fenced them.
+        """Whether enough witnesses have answered recently: no newer leader has fenced them.
 
         A change of the row that is not confirmed may have taken effect or not.
         """
         possible = [self.recorded, *([] if self.unconfirmed is None else [self.unconfirmed])]
-        return all(each.is_majority(self.find_recent(each, workers, now)) for each in possible)
-
-    def find_recent(
-        self, witnesses: WitnessSet, workers: Mapping[str, Worker], now: float
-    ) -> list[str]:
-        """Return the ids of the witnesses whose processes have answered recent requests."""
-        return [
-            worker_id
-            for worker_id, born in witnesses.processes.items()
-            if worker_id in workers
-            and workers[worker_id].born == born
-            and now - workers[worker_id].report_requested_at <= REPORT_MAX_AGE_SECONDS
-        ]
+        return all(
+            2 * count_recent_answers(each, workers, now) > len(each.processes) for each in possible
+        )
 
     def choose(
         self, workers: Iterable[Worker], recorded_ids: Collection[str], now: float
@@ -158,9 +164,8 @@
 
         :param recorded_ids: ids of the workers that the store records with that write.
         """
-        may_earlier_act = math.isinf(self.fenced_at) and now <= self.longest_authority_ends_at
         is_early = self.recorded.processes and now - self.checked_at < CHECK_INTERVAL_SECONDS
-        if may_earlier_act or is_early or self.unconfirmed is not None:
+        if self.may_earlier_act(now) or is_early or self.unconfirmed is not None:
             return None
         self.checked_at = now
         candidates = {each.id: each for each in workers if each.id in recorded_ids}
@@ -188,6 +193,16 @@
         self.unconfirmed = None
 
 
+def count_recent_answers(witnesses: WitnessSet, workers: Mapping[str, Worker], now: float) -> int:
+    """Return how many processes that are witnesses have answered recent requests."""
+    return sum(
+        worker_id in workers
+        and workers[worker_id].born == born
+        and now - workers[worker_id].report_requested_at <= REPORT_MAX_AGE_SECONDS
+        for worker_id, born in witnesses.processes.items()
+    )
+
+
 def may_stay(worker: Worker, born: int) -> bool:
     """Whether a worker is to stay a witness.
 
