--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -7,7 +7,7 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -109,6 +109,7 @@
     :ivar estimate_accuracy: accuracy of run time estimates by queue.
     :ivar durations: expected durations of steps.
     :ivar speeds: speeds of workers.
+    :ivar unconfirmed_losses: tasks that await confirmation after the loss of their run.
     :ivar crashes: crashes of workers and the tasks that may have caused them.
     """
 
@@ -127,6 +128,7 @@
         self.estimate_accuracy: dict[str, EstimateAccuracy] = defaultdict(EstimateAccuracy)
         self.durations = DurationModel()
         self.speeds = WorkerSpeeds()
+        self.unconfirmed_losses: list[TaskState] = []
         self.crashes = CrashRecord(self)
 
     # Jobs
@@ -310,6 +312,26 @@
         for run in list(worker.runs.values()):
             self.mark_run_lost(run)
 
+    def mark_ended_with_process(self, run: Run) -> None:
+        """Record that a run has ended with the process of its worker.
+
+        That shows neither how it ended, nor whether a newer leader knows: its task starts again
+        once the store has confirmed a write that was sent later.
+        """
+        task = run.step.tasks[run.task.index]
+        task.awaits_confirmation = True
+        self.unconfirmed_losses.append(task)
+        self.mark_run_lost(run)
+
+    def confirm_losses(self, tasks: Iterable[TaskState]) -> None:
+        """Let tasks start again whose runs were lost before a write that is confirmed."""
+        confirmed = {id(task) for task in tasks}
+        for task in tasks:
+            task.awaits_confirmation = False
+        self.unconfirmed_losses = [
+            task for task in self.unconfirmed_losses if id(task) not in confirmed
+        ]
+
     def expire_leases(self, now: float) -> list[Worker]:
         """Mark the runs of workers whose lease has expired as lost; return these workers.
 
@@ -503,9 +525,11 @@
             )
             is_listed = run.key in active or run.key in deferred
             if not is_listed and is_conclusive and lists_all_ends:
-                if not has_restarted:
+                if has_restarted:
+                    self.mark_ended_with_process(run)
+                else:
                     self.crashes.exempt_run(run)
-                self.mark_run_lost(run)
+                    self.mark_run_lost(run)
         worker.born = report.born
         self.crashes.observe_report(worker, has_restarted)
         worker.silent_since = -math.inf
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -272,7 +272,8 @@
         newest = newest_by_machine(workers.values())
         ended = [worker for worker in workers.values() if has_ended(worker, newest)]
         for worker in ended:
-            self.cluster_state.mark_runs_lost(worker)
+            for run in list(worker.runs.values()):
+                self.cluster_state.mark_ended_with_process(run)
             worker.is_reconciled = True
             if worker.entry.is_ready:
                 empty = SilentProcess(worker.entry.machine, worker.born, worker.silent_since)
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -790,6 +790,8 @@
             for worker in self.cluster_state.crashes.settle_ended_processes():
                 self.observe_witness(worker, worker.latest_born, now)
                 self.drop_worker(worker)
+            if self.cluster_state.unconfirmed_losses:
+                self.progress_writer.write_requested.set()
             for worker in self.cluster_state.crashes.unheard_successors():
                 self.sessions[worker.id].request_report()
             for worker in self.expire_leases(now):
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -123,13 +123,17 @@
         row_limit = MAX_ROWS_PER_WRITE - len(puts) - OTHER_ROWS
         current, worker_puts, deletes = self.worker_changes(row_limit)
         puts += worker_puts + self.witness_puts(current)
-        is_confirmation_due = bool(self.is_confirmation_requested or leader.unconfirmed_jobs)
+        losses = list(leader.cluster_state.unconfirmed_losses)
+        is_confirmation_due = bool(
+            self.is_confirmation_requested or leader.unconfirmed_jobs or losses
+        )
         self.is_confirmation_requested = False
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
         if puts or deletes or renew or is_confirmation_due:
             puts += self.learned_puts()
             left_out = await leader.writer.write(puts, deletes, renew)
             leader.witnesses.end_change(WITNESSES_KEY not in left_out)
+            leader.cluster_state.confirm_losses(losses)
             current = self.without_left_out(current, left_out)
         self.apply_saved_workers(current)
         self.confirm_jobs()
@@ -142,7 +146,9 @@
             leader.cluster_state.jobs[job_id].ended_at = leader.clock.now()
         if covers_all:
             self.acknowledge_ends(processed)
-        if self.leader.cluster_state.dirty_jobs:
+        if losses:
+            leader.scheduling_requested.set()
+        if leader.cluster_state.dirty_jobs or leader.cluster_state.unconfirmed_losses:
             self.write_requested.set()
         await self.delete_expired_jobs()
         await self.delete_refusals()
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -175,7 +175,7 @@
             )
         for run in unknown:
             leader.stop_unknown_run(run)
-        if ends:
+        if ends or leader.cluster_state.unconfirmed_losses:
             leader.progress_writer.write_requested.set()
         has_more_room = (
             releases != leader.cluster_state.release_count
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -116,6 +116,8 @@
         or from which it was moved.
     :param run: current run, ``None`` when the task is not assigned.
     :param may_run_on: workers on which an earlier leader may have left a run of it.
+    :param awaits_confirmation: whether its run was lost with its worker, and the store has yet to
+        confirm that no newer leader knows more of it.
     """
 
     id: TaskId
@@ -128,11 +130,14 @@
     failed_on: set[str] = attrs.field(factory=set)
     run: Run | None = None
     may_run_on: tuple["Worker", ...] = ()
+    awaits_confirmation: bool = False
 
     @property
     def is_unaccounted(self) -> bool:
-        """Whether a run that an earlier leader started may be active and not be known yet."""
-        return any(not worker.is_reconciled for worker in self.may_run_on)
+        """Whether a run of another leader, or how its last run has ended, may not be known yet."""
+        if self.awaits_confirmation:
+            return True
+        return bool(self.may_run_on) and any(not each.is_reconciled for each in self.may_run_on)
 
     @property
     def possible_crashes(self) -> set[int]:
@@ -178,9 +183,7 @@
         return [
             task
             for task in self.tasks
-            if not task.is_done
-            and task.run is None
-            and not (task.may_run_on and task.is_unaccounted)
+            if not task.is_done and task.run is None and not task.is_unaccounted
         ]
 
     @property
@@ -202,8 +205,8 @@
 
     @property
     def has_unaccounted(self) -> bool:
-        """Whether an earlier leader's run of any of its tasks may be active and not be known."""
-        return any(task.may_run_on and task.is_unaccounted for task in self.tasks)
+        """Whether a run of any of its tasks, or how it has ended, may not be known."""
+        return any(task.is_unaccounted for task in self.tasks)
 
     @property
     def unavailable_count(self) -> int:
--- a/src/jaypier/jobs/tests/test_cluster_state.py
+++ b/src/jaypier/jobs/tests/test_cluster_state.py
@@ -166,6 +166,8 @@
         apply_report(cluster_state, run.worker, 0.5, [make_active_run(run.task)])
         apply_report(cluster_state, run.worker, 1.0, born=2)
         assert not run.worker.runs
+        assert planner.plan(1.0, 1.0).starts == []
+        cluster_state.confirm_losses(cluster_state.unconfirmed_losses)
         assert len(planner.plan(1.0, 1.0).starts) == 1
 
     def test_run_started_by_new_worker_process_is_kept(self):
--- a/src/jaypier/jobs/tests/test_crashes.py
+++ b/src/jaypier/jobs/tests/test_crashes.py
@@ -245,10 +245,11 @@
         return successor
 
     def settle(self):
-        """Drop the workers whose processes have ended."""
+        """Drop the workers whose processes have ended; the store then confirms a write."""
         ended = self.crashes.settle_ended_processes()
         for worker in ended:
             self.cluster_state.remove_worker(worker)
+        self.cluster_state.confirm_losses(self.cluster_state.unconfirmed_losses)
         return ended
 
     def expire_lease(self, worker):
