A row that cannot be decoded is logged once for each of its versions, and counted

What callers saw: nothing; operators saw one line for each odd row of a daemon every 30 s on every VM, which quoted the whole row (60 KB in the test), and no counter told of left-out rows.

Cause: decode_valid knew keys and values, neither versions nor metrics, and logged str(error) in full.

--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -6,13 +6,11 @@
 their default.
 """
 
-from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 from typing import Any, TypeVar
 
 import cattrs
 import msgspec
-import structlog
 from cattrs.preconf.json import make_converter as make_json_converter
 from cattrs.preconf.msgspec import make_converter
 
@@ -20,8 +18,6 @@
 
 T = TypeVar("T")
 
-log = structlog.get_logger()
-
 strict_converter = make_converter(forbid_extra_keys=True)
 lenient_converter = make_converter()
 compact_converter = make_json_converter(omit_if_default=True)
@@ -123,24 +119,3 @@
         raise DecodeError(cattrs.transform_error(error)) from error
     except (ValueError, TypeError, KeyError) as error:
         raise DecodeError([str(error)]) from error
-
-
-def decode_valid(
-    values: Iterable[tuple[str, Any]], decode: Callable[[Any], T]
-) -> Iterator[tuple[str, T]]:
-    """Decode stored values; log and leave out each that cannot be decoded.
-
-    :param values: keys and values; deleted rows, whose value is ``None``, are left out.
-    :param decode: raises an exception for an invalid value. Any is accepted: a value of another
-        writer may fail in ways that the decoder does not foresee, and must not hide the others.
-    :returns: keys and decoded values.
-    """
-    for key, value in values:
-        if value is None:
-            continue
-        try:
-            decoded = decode(value)
-        except Exception as error:
-            log.error("row left out: cannot be decoded", key=key, reason=str(error) or repr(error))
-            continue
-        yield key, decoded
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -33,6 +33,7 @@
 from jaypier.operators.credentials import Credentials
 from jaypier.platform import PlatformUnavailable, Row
 from jaypier.platform.callers import BadRequest
+from jaypier.platform.decoding import LeftOutRows
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.platform.store import MAX_RESPONSE_BYTES, StoreTable
 from jaypier.platform.workers import HttpWorkerLink, StoreWorkerDirectory
@@ -84,12 +85,13 @@
         self.is_stopping = False
         self.leader: Leader | None = None
         store = ConnectionPool(settings.store_address, max_body_bytes=MAX_RESPONSE_BYTES)
-        peers = PeerList(settings.name, self.clock, self.rng)
+        left_out = LeftOutRows(self.metrics)
+        peers = PeerList(settings.name, self.clock, self.rng, left_out)
         self.transport = FailoverTransport(store, peers, self.rng)
         self.table = StoreTable(self.transport, settings.max_row_bytes)
         self.election: Election | None = None
         self.notifier = LeaderNotifier(peers, self.find_leader, self.deliver_row)
-        self.directory = StoreWorkerDirectory(self.table)
+        self.directory = StoreWorkerDirectory(self.table, left_out)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
         if settings.operators is not None:
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -11,7 +11,6 @@
 import structlog
 
 from jaypier.core.clock import Clock
-from jaypier.core.codec import decode_valid
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.cluster_state import ClusterState, UnknownRun
 from jaypier.jobs.contained_planning import plan_with_failures
@@ -48,6 +47,7 @@
     WorkerUnreachable,
 )
 from jaypier.platform import HistoryCompacted, PlatformUnavailable, Row, WatchableTable
+from jaypier.platform.decoding import LeftOutRows, decode_valid
 from jaypier.scheduling.overload import LoadSummary, OverloadDetector, OverloadSettings
 
 JOBS_LONG_POLL_SECONDS = 2.0
@@ -129,6 +129,7 @@
     :ivar has_reconciled: whether every worker has reported to this leader or can have no active
         run of an earlier one.
     :ivar learned: what it has learned of the load and of the workers.
+    :ivar left_out: rows that cannot be decoded.
     :ivar is_loaded: whether the state has been read from the store.
     :ivar jobs_version: version of the store up to which all rows of jobs have been applied.
     :ivar workers_version: the same for the entries of workers.
@@ -159,6 +160,7 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.metrics = metrics
+        self.left_out = LeftOutRows(metrics)
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
         self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
@@ -240,9 +242,9 @@
         listing = await self.read_workers()
         value = None if learned is None else learned.value
         self.learned.restore(value, self.clock.now(), self.wall_clock())
-        changes = decode_job_rows(jobs.rows, jobs.version)
+        changes = decode_job_rows(jobs.rows, jobs.version, self.left_out)
         self.cluster_state.cancelled.update(changes.cancelled)
-        for state in restore_jobs(changes.accepted, progress.rows):
+        for state in restore_jobs(changes.accepted, progress.rows, self.left_out):
             if state.status.is_final:
                 # The recorded Unix time is not used: VM clocks differ, and rows must not be deleted
                 # early.
@@ -275,9 +277,8 @@
         """
         changes = await self.table.snapshot(RECORDED_WORKERS_TABLE)
         now = self.clock.now()
-        values = ((row.key, row.value) for row in changes.rows)
-        for key, record in decode_valid(values, decode_worker_record):
-            with self.contain_row(key):
+        for row, record in decode_valid(changes.rows, decode_worker_record, self.left_out):
+            with self.contain_row(row.key):
                 self.restore_recorded_worker(record, now, changes.version)
 
     def restore_recorded_worker(self, record: WorkerRecord, now: float, version: int) -> None:
@@ -373,7 +374,7 @@
 
         :param version: version of the store up to which the rows are complete.
         """
-        changes = decode_job_rows(rows, version)
+        changes = decode_job_rows(rows, version, self.left_out)
         self.observe_refusals(changes)
         for job in changes.accepted:
             if job.id in self.unreadable_jobs:
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from jaypier.core.codec import decode_valid, encoded_size, from_plain, to_compact
+from jaypier.core.codec import encoded_size, from_plain, to_compact
 from jaypier.core.errors import JaypierError
 from jaypier.jobs.model import Job, TaskId, WorkerEntry
 from jaypier.jobs.progress import JobProgress, restore_job
@@ -26,6 +26,7 @@
     Transaction,
     WatchableTable,
 )
+from jaypier.platform.decoding import LeftOutRows, decode_valid
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
@@ -115,21 +116,23 @@
     versions: dict[str, int] = attrs.field(factory=dict)
 
 
-def decode_job_rows(rows: list[Row], version: int) -> JobChanges:
+def decode_job_rows(
+    rows: list[Row], version: int, left_out: LeftOutRows | None = None
+) -> JobChanges:
     """Decode rows of the jobs table into jobs and cancellations; skip rows without a valid value.
 
     :param version: version of the store up to which the rows are complete.
+    :param left_out: observes the rows that cannot be decoded.
     """
     present = [row for row in rows if row.value is not None]
     cancelled = [
         row.name.removesuffix(CANCEL_SUFFIX) for row in present if row.name.endswith(CANCEL_SUFFIX)
     ]
     versions = {row.name: row.version for row in present}
-    others = [(row.key, row.value) for row in present if not row.name.endswith(CANCEL_SUFFIX)]
-    decoded = list(decode_valid(others, decode_job_or_refusal))
-    accepted = [job for key, job in decoded if isinstance(job, Job) and key == job_key(job.id)]
-    names = [key.partition("/")[2] for key, each in decoded if isinstance(each, Refusal)]
-    refusals = {name: versions[name] for name in names}
+    others = [row for row in present if not row.name.endswith(CANCEL_SUFFIX)]
+    decoded = list(decode_valid(others, decode_job_or_refusal, left_out or LeftOutRows()))
+    accepted = [job for row, job in decoded if isinstance(job, Job) and row.key == job_key(job.id)]
+    refusals = {row.name: row.version for row, each in decoded if isinstance(each, Refusal)}
     return JobChanges(accepted, cancelled, version, refusals, versions)
 
 
@@ -190,10 +193,14 @@
     return WorkerRecord(entry, None if tasks is None else frozenset(map(TaskId.parse, tasks)))
 
 
-def restore_jobs(jobs: Iterable[Job], progress_rows: Iterable[Row]) -> Iterator[JobState]:
+def restore_jobs(
+    jobs: Iterable[Job], progress_rows: Iterable[Row], left_out: LeftOutRows
+) -> Iterator[JobState]:
     """Return the state of each job by its recorded progress.
 
-    A job whose progress cannot be decoded is logged and left out.
+    A job whose progress cannot be decoded is left out.
+
+    :param left_out: observes the rows that cannot be decoded.
     """
     rows = {row.name: row for row in progress_rows}
     for job in jobs:
@@ -202,7 +209,7 @@
             yield restore_job(job, None)
             continue
         restored = decode_valid(
-            [(row.key, row.value)], lambda value, job=job: restore_job(job, decode_progress(value))
+            [row], lambda value, job=job: restore_job(job, decode_progress(value)), left_out
         )
         yield from (state for _, state in restored)
 
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -6,6 +6,7 @@
 from jaypier.core.address import Address
 from jaypier.jobs.model import StartRequest, StartResponse, TaskId
 from jaypier.jobs.worker_interface import WorkerUnreachable
+from jaypier.platform.decoding import LeftOutRows
 from jaypier.platform.model import Changes, Row
 from jaypier.platform.workers import HttpWorkerLink, decode_listing, decode_worker
 from jaypier.wire.messages import HttpResponse
@@ -29,7 +30,7 @@
 
 class TestWorkerEntries:
     def test_entry_is_decoded(self):
-        entry = decode_worker(Row("servers/i-1", ENTRY, 3))
+        entry = decode_worker(Row("servers/i-1", ENTRY, 3), LeftOutRows())
         assert entry.id == "i-1"
         assert entry.rack == "r1-3"
         assert entry.labels == {"a", "r1-3"}
@@ -40,10 +41,12 @@
 
     def test_entry_may_leave_out_its_machine(self):
         without_machine = {key: value for key, value in ENTRY.items() if key != "Machine"}
-        assert decode_worker(Row("servers/i-1", without_machine, 3)).machine == ""
+        assert decode_worker(Row("servers/i-1", without_machine, 3), LeftOutRows()).machine == ""
 
     def test_draining_worker_is_not_ready(self):
-        assert not decode_worker(Row("servers/i-1", {**ENTRY, "State": "draining"}, 3)).is_ready
+        assert not decode_worker(
+            Row("servers/i-1", {**ENTRY, "State": "draining"}, 3), LeftOutRows()
+        ).is_ready
 
     @pytest.mark.parametrize(
         "change",
@@ -60,7 +63,7 @@
         ],
     )
     def test_malformed_entry_is_ignored(self, change):
-        assert decode_worker(Row("servers/i-1", {**ENTRY, **change}, 3)) is None
+        assert decode_worker(Row("servers/i-1", {**ENTRY, **change}, 3), LeftOutRows()) is None
 
     @pytest.mark.parametrize("amount", ["Infinity", "-Infinity", "NaN", "1e999", "1e300", "-1"])
     @pytest.mark.parametrize("field", ["Cpu", "MemMb", "Gpu"])
@@ -71,23 +74,31 @@
             Row("servers/i-1", ENTRY, 3),
             Row("servers/inventory-7", {**ENTRY, "Capacity": capacity}, 4),
         ]
-        listing = decode_listing(Changes(rows, 4))
+        listing = decode_listing(Changes(rows, 4), LeftOutRows())
         assert listing.entries["inventory-7"] is None
-        assert listing.entries["i-1"] == decode_worker(rows[0])
+        assert listing.entries["i-1"] == decode_worker(rows[0], LeftOutRows())
 
     @pytest.mark.parametrize("field", ["born", "ClockMs", "RemainingMs"])
     @pytest.mark.parametrize("value", [float("inf"), float("nan"), 1e300, True, "soon", None, []])
     def test_entry_with_a_time_that_is_no_number_is_ignored(self, field, value):
-        assert decode_worker(Row("servers/i-1", {**ENTRY, field: value}, 3)) is None
+        assert decode_worker(Row("servers/i-1", {**ENTRY, field: value}, 3), LeftOutRows()) is None
 
     @pytest.mark.parametrize("field", ["Service", "Zone", "Machine"])
     def test_entry_with_a_text_that_cannot_be_stored_is_ignored(self, field):
-        assert decode_worker(Row("servers/i-1", {**ENTRY, field: "desk\ud800"}, 3)) is None
-        assert decode_worker(Row("servers/i-1", {**ENTRY, "Labels": ["a", "\ud800"]}, 3)) is None
+        assert (
+            decode_worker(Row("servers/i-1", {**ENTRY, field: "desk\ud800"}, 3), LeftOutRows())
+            is None
+        )
+        assert (
+            decode_worker(
+                Row("servers/i-1", {**ENTRY, "Labels": ["a", "\ud800"]}, 3), LeftOutRows()
+            )
+            is None
+        )
 
     @pytest.mark.parametrize("value", [None, [], "text", 7, {}])
     def test_entry_that_is_not_a_worker_object_is_ignored(self, value):
-        assert decode_worker(Row("servers/i-1", value, 3)) is None
+        assert decode_worker(Row("servers/i-1", value, 3), LeftOutRows()) is None
 
 
 class TestReports:
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from jaypier.core.address import Address
-from jaypier.core.codec import decode_valid
 from jaypier.jobs.model import (
     DEFAULT_DRAIN_SECONDS,
     ActiveRun,
@@ -25,6 +24,7 @@
     WorkerUnreachable,
 )
 from jaypier.platform.abstract import TableSource, WatchableTable
+from jaypier.platform.decoding import LeftOutRows, decode_valid
 from jaypier.platform.model import Changes, Row
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
@@ -65,22 +65,22 @@
     """The workers that are registered in the store.
 
     :param table: the platform's store.
+    :param left_out: observes the entries that cannot be decoded.
     """
 
-    def __init__(self, table: WatchableTable) -> None:
-        super().__init__(table, WORKERS_TABLE, decode_listing)
+    def __init__(self, table: WatchableTable, left_out: LeftOutRows) -> None:
+        super().__init__(table, WORKERS_TABLE, lambda changes: decode_listing(changes, left_out))
 
 
-def decode_listing(changes: Changes) -> WorkerListing:
+def decode_listing(changes: Changes, left_out: LeftOutRows) -> WorkerListing:
     """Decode rows of workers; one that does not describe a usable worker hides no other."""
-    entries = {row.name: decode_worker(row) for row in changes.rows}
+    entries = {row.name: decode_worker(row, left_out) for row in changes.rows}
     return WorkerListing(entries, changes.version)
 
 
-def decode_worker(row: Row) -> WorkerEntry | None:
+def decode_worker(row: Row, left_out: LeftOutRows) -> WorkerEntry | None:
     """Decode a worker's entry; return ``None`` if it does not describe a usable worker."""
-    rows = [(row.key, row.value)]
-    decoded = decode_valid(rows, lambda entry: _decode_entry(row.name, entry))
+    decoded = decode_valid([row], lambda entry: _decode_entry(row.name, entry), left_out)
     return next((entry for _, entry in decoded), None)
 
 
--- a/src/jaypier/relay/peers.py
+++ b/src/jaypier/relay/peers.py
@@ -7,8 +7,9 @@
 
 from jaypier.core.address import Address
 from jaypier.core.clock import Clock
-from jaypier.core.codec import decode_valid, from_plain, to_plain
+from jaypier.core.codec import from_plain, to_plain
 from jaypier.platform import Put, Transaction, WatchableTable
+from jaypier.platform.decoding import LeftOutRows, decode_valid
 from jaypier.platform.store import MAX_RESPONSE_BYTES
 from jaypier.wire.client import ConnectionPool
 
@@ -64,9 +65,17 @@
     :param own_name: name of this VM.
     :param clock: clock that the back-off times refer to.
     :param rng: determines the order in which peers are tried.
+    :param left_out: observes the rows of daemons that cannot be decoded.
     """
 
-    def __init__(self, own_name: str, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        own_name: str,
+        clock: Clock,
+        rng: random.Random,
+        left_out: LeftOutRows | None = None,
+    ) -> None:
+        self.left_out = left_out or LeftOutRows()
         self.own_name = own_name
         self.clock = clock
         self.rng = rng
@@ -82,8 +91,8 @@
     async def refresh(self, table: WatchableTable) -> None:
         """Read the registered daemons from the store and update the list of peers."""
         changes = await table.snapshot(DAEMONS_TABLE)
-        rows = ((row.name, row.value) for row in changes.rows)
-        addresses = dict(decode_valid(rows, decode_daemon_row))
+        decoded = decode_valid(changes.rows, decode_daemon_row, self.left_out)
+        addresses = {row.name: address for row, address in decoded}
         addresses.pop(self.own_name, None)
         for name in self.peers.keys() - addresses.keys():
             self.peers.pop(name).pool.close()
--- a/src/jaypier/relay/tests/test_transport.py
+++ b/src/jaypier/relay/tests/test_transport.py
@@ -2,6 +2,7 @@
 import random
 
 import pytest
+import structlog
 
 from jaypier.core.address import Address
 from jaypier.platform import Put, Transaction
@@ -253,3 +254,30 @@
             assert list(peers.peers) == ["vm-1"]
 
         run_in_virtual_time(scenario())
+
+    def test_odd_row_is_logged_once_for_each_of_its_versions(self):
+        # Regression: every refresh logged it again, on every daemon.
+        async def scenario() -> None:
+            store = MemoryStore(random.Random(1))
+            peers = PeerList("vm-0", LoopClock(asyncio.get_running_loop()), random.Random(1))
+            with structlog.testing.capture_logs() as lines:
+                for relay in ("127.0.0.1:0", "127.0.0.1:65536"):
+                    store.apply(Transaction(puts=[Put("daemons/vm-1", {"relay": relay})]))
+                    for _ in range(3):
+                        await peers.refresh(store)
+            assert [line["event"] for line in lines] == 2 * ["row left out: cannot be decoded"]
+            assert all(line["key"].endswith("vm-1") for line in lines)
+
+        run_in_virtual_time(scenario())
+
+    def test_long_odd_row_has_a_short_log_line(self):
+        # Regression: the line quoted the whole row.
+        async def scenario() -> None:
+            store = MemoryStore(random.Random(1))
+            peers = PeerList("vm-0", LoopClock(asyncio.get_running_loop()), random.Random(1))
+            store.apply(Transaction(puts=[Put("daemons/vm-1", {"relay": "x" * 60_000})]))
+            with structlog.testing.capture_logs() as lines:
+                await peers.refresh(store)
+            assert len(str(lines)) < 1000
+
+        run_in_virtual_time(scenario())
