A leader's row that cannot be decoded stops no election

What callers saw: nobody leads any more; accepted jobs never start (LOST). The leader ended with "background task failed", and every daemon's election failed on the same row, again and again, with restarts 0.5 to 8 s apart.

Cause: Election.take and FencedWriter.refresh_versions decoded the row without expecting an error. Numbers that decode but cannot be encoded again (an epoch of 400 digits) or compared (renewed_at not finite) got through.

Change: decode_leader_record checks types and ranges. A leader whose row is odd has lost its leadership. A candidate logs and counts that version once, takes its owner for unknown and waits as long as after a renewal, counted from the first odd version, so that more odd versions delay nothing. Its epoch exceeds all that it has seen and that of the row turns/turn by 1,000: leaders whose rows were replaced before they wrote anything may have used some in between.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -71,6 +71,7 @@
     :param settings: settings of this VM.
     :ivar incarnation: unique id of this process: VM name and start time.
     :ivar stop_requested: set to start a graceful shutdown.
+    :ivar left_out: rows of other daemons, workers and the leader that cannot be decoded.
     :ivar election: the current election, which knows who leads; ``None`` before the first one.
     :ivar leader: the running leader, ``None`` unless this daemon leads.
     """
@@ -85,13 +86,13 @@
         self.is_stopping = False
         self.leader: Leader | None = None
         store = ConnectionPool(settings.store_address, max_body_bytes=MAX_RESPONSE_BYTES)
-        left_out = LeftOutRows(self.metrics)
-        peers = PeerList(settings.name, self.clock, self.rng, left_out)
+        self.left_out = LeftOutRows(self.metrics)
+        peers = PeerList(settings.name, self.clock, self.rng, self.left_out)
         self.transport = FailoverTransport(store, peers, self.rng)
         self.table = StoreTable(self.transport, settings.max_row_bytes)
         self.election: Election | None = None
         self.notifier = LeaderNotifier(peers, self.find_leader, self.deliver_row)
-        self.directory = StoreWorkerDirectory(self.table, left_out)
+        self.directory = StoreWorkerDirectory(self.table, self.left_out)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
         if settings.operators is not None:
@@ -274,7 +275,14 @@
         """
         takeover_delay = MAX_TAKEOVER_DELAY_SECONDS / (1.0 + self.settings.processor_share)
         while True:
-            election = Election(self.table, self.incarnation, takeover_delay, self.clock, self.rng)
+            election = Election(
+                self.table,
+                self.incarnation,
+                takeover_delay,
+                self.clock,
+                self.rng,
+                self.left_out,
+            )
             self.election = election
             _, version = await election.campaign()
             writer = FencedWriter(self.table, election.record, version, self.clock)
--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -1,6 +1,7 @@
 """Leader election: the leader holds a row of the store and renews it, under a growing epoch."""
 
 import asyncio
+import math
 import random
 from typing import Any
 
@@ -8,7 +9,7 @@
 import structlog
 
 from jaypier.core.clock import Clock
-from jaypier.core.codec import from_plain, to_compact
+from jaypier.core.codec import DecodeError, from_plain, to_compact
 from jaypier.platform import (
     Condition,
     ConditionFailed,
@@ -19,10 +20,24 @@
     Transaction,
     WatchableTable,
 )
+from jaypier.platform.decoding import LeftOutRows
 
 LEADER_TABLE = "leader"
 LEADER_KEY = "leader/leader"
 
+SEQUENCE_KEY = "turns/turn"
+"""Row that each write of a leader replaces; its value is the leader's epoch."""
+
+MAX_EPOCH = 1 << 40
+"""Highest epoch of a valid row; one takeover a second takes 34,000 years to get there."""
+
+UNKNOWN_OWNER = "unknown"
+"""Owner of a row that cannot be decoded; no incarnation has this name."""
+
+UNKNOWN_EPOCH_MARGIN = 1000
+"""Number of epochs left out after a row that cannot be decoded: it may have replaced the rows of
+leaders whose epochs nothing else tells, and an epoch must not be used twice."""
+
 RENEWAL_INTERVAL_SECONDS = 0.6
 """Time between two renewals of the row by the leader."""
 
@@ -56,12 +71,39 @@
     load: Any = None
 
 
+def decode_leader_record(value: Any) -> LeaderRecord:
+    """Decode the value of the leader's row.
+
+    :raises DecodeError: if it is not a leader's row.
+    """
+    record = from_plain(value, LeaderRecord)
+    is_exact = isinstance(value["owner"], str) and type(value["epoch"]) is int
+    is_in_range = 0 < record.epoch <= MAX_EPOCH and abs(record.renewals) <= MAX_EPOCH
+    if not (is_exact and is_in_range and math.isfinite(record.renewed_at)):
+        raise DecodeError([f"not a leader's row, or an epoch that is not from 1 to {MAX_EPOCH}"])
+    return record
+
+
+def decode_epoch(value: Any) -> int:
+    """Decode the value of the row ``turns/turn``.
+
+    :raises DecodeError: if it is not an epoch.
+    """
+    if type(value) is not int or not 0 < value <= MAX_EPOCH:
+        raise DecodeError([f"expected an epoch from 1 to {MAX_EPOCH}, got another value"])
+    return value
+
+
 class Election:
     """Watches the leader's row and claims it when the leader has resigned or timed out.
 
     :param owner: incarnation of this daemon.
     :param takeover_delay: seconds added to ``LEADER_TIMEOUT_SECONDS`` before this daemon takes
         over; after a resignation, it waits for a random part of this time only.
+    :param left_out: observes versions of the row that cannot be decoded. Their owner is unknown,
+        and others take over as if it had renewed the row when it became unreadable.
+    :ivar record: content of the row as last seen.
+    :ivar highest_epoch: highest epoch that the row has had.
     """
 
     def __init__(
@@ -71,13 +113,16 @@
         takeover_delay: float,
         clock: Clock,
         rng: random.Random,
+        left_out: LeftOutRows | None = None,
     ) -> None:
         self.table = table
+        self.left_out = left_out or LeftOutRows()
         self.owner = owner
         self.takeover_delay = takeover_delay
         self.clock = clock
         self.rng = rng
         self.record = LeaderRecord("", 0)
+        self.highest_epoch = 0
         self.version = 0
         self.last_renewal_at = clock.now()
 
@@ -127,10 +172,19 @@
         """Apply a version of the row, unless it is not newer or the row is deleted."""
         if row.version <= self.version or row.value is None:
             return
-        record = from_plain(row.value, LeaderRecord)
+        self.version = row.version
+        try:
+            record = decode_leader_record(row.value)
+        except DecodeError as error:
+            self.left_out.observe(row, error)
+            if self.record.owner != UNKNOWN_OWNER:
+                self.record = LeaderRecord(UNKNOWN_OWNER, self.record.epoch)
+                self.last_renewal_at = self.clock.now()
+            return
         if record.epoch != self.record.epoch:
             log.info("leader observed", owner=record.owner, epoch=record.epoch)
-        self.record, self.version = record, row.version
+        self.record = record
+        self.highest_epoch = max(self.highest_epoch, record.epoch)
         age = max(0.0, self.table.store_time() - record.renewed_at)
         self.last_renewal_at = self.clock.now() - (age if record.owner else 0.0)
 
@@ -151,7 +205,8 @@
         When the row has changed, this daemon still leads if the row names it: an earlier claim
         took effect although its response was lost.
         """
-        record = LeaderRecord(self.owner, self.record.epoch + 1, renewed_at=self.table.store_time())
+        epoch = await self.next_epoch()
+        record = LeaderRecord(self.owner, epoch, renewed_at=self.table.store_time())
         transaction = Transaction(
             [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_compact(record))]
         )
@@ -165,3 +220,16 @@
             return self.record.owner == self.owner
         self.record, self.version = record, version
         return True
+
+    async def next_epoch(self) -> int:
+        """Return an epoch that no leader has used."""
+        if self.record.owner != UNKNOWN_OWNER:
+            return self.highest_epoch + 1
+        last_written = 0
+        row = await self.table.read(SEQUENCE_KEY)
+        if row is not None:
+            try:
+                last_written = decode_epoch(row.value)
+            except DecodeError as error:
+                self.left_out.observe(row, error)
+        return max(self.highest_epoch, last_written) + UNKNOWN_EPOCH_MARGIN
--- a/src/jaypier/jobs/fenced_writer.py
+++ b/src/jaypier/jobs/fenced_writer.py
@@ -8,9 +8,15 @@
 import structlog
 
 from jaypier.core.clock import Clock
-from jaypier.core.codec import from_plain, to_compact
+from jaypier.core.codec import DecodeError, to_compact
 from jaypier.core.errors import JaypierError
-from jaypier.jobs.election import LEADER_KEY, RENEWAL_INTERVAL_SECONDS, LeaderRecord
+from jaypier.jobs.election import (
+    LEADER_KEY,
+    RENEWAL_INTERVAL_SECONDS,
+    SEQUENCE_KEY,
+    LeaderRecord,
+    decode_leader_record,
+)
 from jaypier.platform import (
     Condition,
     ConditionFailed,
@@ -22,8 +28,6 @@
 )
 from jaypier.scheduling.overload import LoadSummary, encode_summary
 
-SEQUENCE_KEY = "turns/turn"
-
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a write is retried after the store did not answer."""
 
@@ -162,12 +166,14 @@
         :raises LeadershipLost: when another daemon leads.
         """
         row = current.get(LEADER_KEY)
-        held = None if row is None else from_plain(row.value, LeaderRecord)
-        if held is None or (held.owner, held.epoch) != (
-            self.record.owner,
-            self.record.epoch,
-        ):
-            raise LeadershipLost(f"{LEADER_KEY} holds {held}, expected {self.record}")
+        own = (self.record.owner, self.record.epoch)
+        try:
+            held = None if row is None else decode_leader_record(row.value)
+        except DecodeError as error:
+            raise LeadershipLost(f"{LEADER_KEY} cannot be decoded: {error}") from error
+        if held is None or (held.owner, held.epoch) != own:
+            found = None if held is None else (held.owner, held.epoch)
+            raise LeadershipLost(f"{LEADER_KEY} holds {found}, expected {own}")
         self.version = row.version
         sequence_row = current.get(SEQUENCE_KEY)
         self.sequence_version = 0 if sequence_row is None else sequence_row.version
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -304,6 +304,32 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize(
+        "value",
+        [
+            7,
+            [],
+            {"owner": "vm-x/1", "epoch": "many"},
+            {"owner": "vm-x/1", "epoch": int(400 * "9")},
+            {"owner": "vm-x/1", "epoch": 1, "renewed_at": math.inf},
+        ],
+    )
+    def test_odd_leader_row_moves_the_leadership_once_and_no_task_starts_twice(self, value):
+        # Regression (LOST): nobody led any more once the leader's row could not be decoded.
+        async def scenario(harness):
+            job = make_job(make_step(count=4, accelerators=8, seconds=6.0))
+            await harness.start_job(job, 4, 8)
+            first = harness.leaders[harness.leader_name]
+            harness.store.apply(Transaction(puts=[Put(LEADER_KEY, value)]))
+            await asyncio.sleep(5.0)
+            second = harness.leaders[harness.leader_name]
+            assert second.epoch > first.epoch
+            await harness.wait_status(job, JobStatus.COMPLETED, 10)
+            assert harness.leaders[harness.leader_name] is second
+            assert len(harness.cluster.runs) == 4
+
+        run_scenario(scenario)
+
     def test_entry_that_cannot_be_applied_leaves_out_that_worker_alone(self):
         # Regression (LOST): an unexpected error about one worker's entry ended every leadership.
         async def scenario(harness):
