A leader's row that was deleted stops no election

What callers saw: nobody leads any more (LOST), and each daemon calls the store without a pause.

Cause: Election.take ignored the deletion, so that each claim expected the version of the deleted row and the watch returned the deletion again at once. A daemon that started afterwards claimed with epoch 1, which workers refuse.

Before the change, both cases of test_deleted_row_stops_no_election fail: a time-out after 5 s, and epoch 1 again.

Change: a deletion is taken like a row that cannot be decoded: its owner is unknown, and a claim expects no row. A daemon that finds no row looks at turns/turn; only if that is missing as well, this is a new deployment.

--- a/src/jaypier/jobs/election.py
+++ b/src/jaypier/jobs/election.py
@@ -103,6 +103,8 @@
     :param left_out: observes versions of the row that cannot be decoded. Their owner is unknown,
         and others take over as if it had renewed the row when it became unreadable.
     :ivar record: content of the row as last seen.
+    :ivar version: version of the row as last seen, or of its deletion.
+    :ivar expected_version: version that the row must have for a claim, 0 if it is deleted.
     :ivar highest_epoch: highest epoch that the row has had.
     """
 
@@ -124,6 +126,7 @@
         self.record = LeaderRecord("", 0)
         self.highest_epoch = 0
         self.version = 0
+        self.expected_version = 0
         self.last_renewal_at = clock.now()
 
     async def campaign(self) -> tuple[int, int]:
@@ -147,14 +150,21 @@
         while True:
             try:
                 row = await self.table.read(LEADER_KEY)
+                is_deleted = row is None and (self.version > 0 or await self.has_sequence())
             except PlatformUnavailable as error:
                 log.debug("leader row read failed", reason=str(error))
                 await asyncio.sleep(RETRY_DELAY_SECONDS * self.rng.uniform(0.6, 1.4))
                 continue
             if row is not None:
                 self.take(row)
+            elif is_deleted:
+                self.forget_owner(0)
             return
 
+    async def has_sequence(self) -> bool:
+        """Return whether a leader has written anything, so that its row can only be deleted."""
+        return await self.table.read(SEQUENCE_KEY) is not None
+
     @property
     def is_claimable(self) -> bool:
         """Whether this daemon may claim the row: its owner has resigned or timed out."""
@@ -169,18 +179,20 @@
         return self.clock.now() - self.last_renewal_at
 
     def take(self, row: Row) -> None:
-        """Apply a version of the row, unless it is not newer or the row is deleted."""
-        if row.version <= self.version or row.value is None:
+        """Apply a version of the row, unless it is not newer."""
+        if row.version <= self.version:
             return
         self.version = row.version
+        if row.value is None:
+            self.forget_owner(0)
+            return
         try:
             record = decode_leader_record(row.value)
         except DecodeError as error:
             self.left_out.observe(row, error)
-            if self.record.owner != UNKNOWN_OWNER:
-                self.record = LeaderRecord(UNKNOWN_OWNER, self.record.epoch)
-                self.last_renewal_at = self.clock.now()
+            self.forget_owner(row.version)
             return
+        self.expected_version = row.version
         if record.epoch != self.record.epoch:
             log.info("leader observed", owner=record.owner, epoch=record.epoch)
         self.record = record
@@ -188,6 +200,18 @@
         age = max(0.0, self.table.store_time() - record.renewed_at)
         self.last_renewal_at = self.clock.now() - (age if record.owner else 0.0)
 
+    def forget_owner(self, expected_version: int) -> None:
+        """Record that nobody knows who leads: the row is deleted or cannot be decoded.
+
+        :param expected_version: version of the row, 0 if it is deleted.
+        """
+        self.expected_version = expected_version
+        if self.record.owner == UNKNOWN_OWNER:
+            return
+        log.warning("leader unknown", owner=self.record.owner, epoch=self.record.epoch)
+        self.record = LeaderRecord(UNKNOWN_OWNER, self.record.epoch)
+        self.last_renewal_at = self.clock.now()
+
     async def watch(self) -> None:
         """Wait until the row changes or this daemon may have to claim it."""
         wait = LEADER_TIMEOUT_SECONDS + self.takeover_delay - self.seconds_since_renewal
@@ -208,13 +232,14 @@
         epoch = await self.next_epoch()
         record = LeaderRecord(self.owner, epoch, renewed_at=self.table.store_time())
         transaction = Transaction(
-            [Condition(LEADER_KEY, self.version)], [Put(LEADER_KEY, to_compact(record))]
+            [Condition(LEADER_KEY, self.expected_version)], [Put(LEADER_KEY, to_compact(record))]
         )
         try:
             version = await self.table.commit(transaction)
         except ConditionFailed as error:
             row = error.current_rows.get(LEADER_KEY)
             if row is None:
+                self.forget_owner(0)
                 return False
             self.take(row)
             return self.record.owner == self.owner
--- a/src/jaypier/jobs/tests/test_fenced_writer.py
+++ b/src/jaypier/jobs/tests/test_fenced_writer.py
@@ -116,6 +116,25 @@
 
         run_in_virtual_time(scenario())
 
+    @pytest.mark.parametrize("saw_it", [True, False])
+    def test_deleted_row_stops_no_election(self, saw_it):
+        # Regression (LOST): a claim expected the version of the deleted row for ever.
+        async def scenario():
+            store = MemoryStore(random.Random(1))
+            writer = await open_writer(store)
+            await writer.write([], [], True)
+            clock = LoopClock(asyncio.get_running_loop())
+            election = Election(store, "vm-b/1", 0.1, clock, random.Random(2))
+            if saw_it:
+                await election.read()
+            store.apply(Transaction(deletes=[LEADER_KEY]))
+            calls = store.call_count
+            epoch, _ = await asyncio.wait_for(election.campaign(), 5)
+            assert epoch > writer.record.epoch
+            assert store.call_count - calls < 20
+
+        run_in_virtual_time(scenario())
+
     def test_row_that_stays_odd_in_version_after_version_delays_no_election(self):
         async def scenario():
             store = MemoryStore(random.Random(1))
