An odd row of the notes stops no daemon that follows them

What callers saw: on deployments that are configured by release notes, daemons stopped following the notes ("background task failed", restarts 0.5 to 8 s apart), were not ready any more, and notes were not applied (LOST).

Cause: EntityCache decoded rows without expecting an error, and the watcher ended at the same row again and again. A resent note whose row accepted/ID is odd failed.

Change: a row that cannot be decoded is observed (one line and count a version) and changes nothing: a data centre that was drained stays out of service. After an odd notes/head, the version is that of the newest entity, and the next note replaces the row. An accepted note with an odd row counts as accepted, with version 0.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -96,7 +96,7 @@
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
         if settings.operators is not None:
-            cache = EntityCache()
+            cache = EntityCache(self.left_out)
             source = NoteOperatorSource(self.table, cache)
             notes = NoteService(self.table, self.directory, cache, self.metrics, self.rng)
             credentials = Credentials(settings.operators.tokens)
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -14,7 +14,14 @@
 from jaypier.jobs.model import WorkerEntry
 from jaypier.jobs.rows import JobTable, cancel_key, job_key
 from jaypier.jobs.worker_interface import WorkerDirectory
-from jaypier.notes.cache import HEAD_KEY, EntityCache, EntityRow, accepted_key, entity_row_key
+from jaypier.notes.cache import (
+    HEAD_KEY,
+    EntityCache,
+    EntityRow,
+    accepted_key,
+    decode_version,
+    entity_row_key,
+)
 from jaypier.notes.guarantees import find_shortfall
 from jaypier.notes.model import ENTITY_KINDS, ReleaseNote, written_entities
 from jaypier.notes.translation import build_job
@@ -24,9 +31,11 @@
     ConditionFailed,
     PlatformUnavailable,
     Put,
+    Row,
     Transaction,
     WatchableTable,
 )
+from jaypier.platform.decoding import decode_valid
 
 MAX_TRANSACTION_ROWS = 100
 """Maximum number of rows in one transaction of the store, its conditions included."""
@@ -142,7 +151,7 @@
         """
         accepted = await self.table.read(accepted_key(note.id))
         if accepted is not None:
-            return NoteResult(note.id, NoteStatus.ACCEPTED, accepted.value["version"])
+            return self.accepted_result(note.id, accepted)
         # Built before any other read, so that a note committed in between fails the condition.
         condition, version = (
             Condition(HEAD_KEY, self.cache.head_row_version),
@@ -275,7 +284,13 @@
         if row is None:
             reason = "not accepted so far; resend it unchanged to be certain"
             return NoteResult(note_id, NoteStatus.UNKNOWN, reasons=[reason])
-        return NoteResult(note_id, NoteStatus.ACCEPTED, row.value["version"])
+        return self.accepted_result(note_id, row)
+
+    def accepted_result(self, note_id: str, row: Row) -> NoteResult:
+        """Return the outcome of a note by its row ``accepted/ID``; version 0 if that is odd."""
+        decoded = decode_valid([row], decode_version, self.cache.left_out)
+        version = next((version for _, version in decoded), 0)
+        return NoteResult(note_id, NoteStatus.ACCEPTED, version)
 
 
 def named_jobs(note: ReleaseNote) -> set[str]:
--- a/src/jaypier/notes/tests/test_service.py
+++ b/src/jaypier/notes/tests/test_service.py
@@ -3,9 +3,17 @@
 import pytest
 
 from jaypier.jobs.model import JobStatus, Resources
-from jaypier.notes.cache import HEAD_KEY
+from jaypier.notes.cache import HEAD_KEY, accepted_key, entity_row_key
 from jaypier.notes.service import MAX_TRANSACTION_ROWS, NoteStatus
-from jaypier.notes.tests.builders import job_value, make_note, run_scenario, shape_value, team_value
+from jaypier.notes.tests.builders import (
+    NoteDaemon,
+    job_value,
+    make_note,
+    run_scenario,
+    shape_value,
+    team_value,
+)
+from jaypier.platform import Put, Transaction
 
 CLINIC = {"teams": [team_value("clinic")]}
 
@@ -328,3 +336,66 @@
             assert_accepted(await harness.submit(make_note("a", added=CLINIC), daemon=1), 1)
 
         run_scenario(scenario)
+
+
+class TestOddRows:
+    """A row of another writer changes nothing, and daemons go on following the others."""
+
+    @pytest.mark.parametrize(
+        "key",
+        [HEAD_KEY, *(entity_row_key(kind, "x") for kind in ("teams", "jobs", "data_centres"))],
+    )
+    @pytest.mark.parametrize(
+        "value",
+        [
+            7,
+            "text",
+            [],
+            {},
+            {"version": int(400 * "9")},
+            {"revision": int(400 * "9"), "entity": {}},
+        ],
+    )
+    def test_odd_row_stops_no_daemon(self, key, value):
+        # Regression (LOST): the watch of the notes ended at the row, again and again.
+        async def scenario(harness):
+            assert_accepted(await harness.submit(make_note("a", added=CLINIC)), 1)
+            harness.store.apply(Transaction(puts=[Put(key, value)]))
+            await harness.settle()
+            harness.daemons.append(NoteDaemon(harness.cluster, "vm-late"))
+            await harness.settle()
+            added = {"teams": [team_value("dairy")]}
+            assert_accepted(await harness.submit(make_note("b", added=added)), 2)
+            await harness.settle()
+            for daemon in harness.daemons:
+                assert not daemon.task.done()
+                assert daemon.watcher.configuration.version == 2
+                assert sorted(daemon.cache.teams) == ["clinic", "dairy"]
+
+        run_scenario(scenario)
+
+    def test_drained_data_centre_stays_out_of_service(self):
+        async def scenario(harness):
+            value = {"name": "dc-a", "in_service": False}
+            assert_accepted(
+                await harness.submit(make_note("a", added={"data_centres": [value]})), 1
+            )
+            await harness.settle()
+            harness.store.apply(Transaction(puts=[Put(entity_row_key("data_centres", "dc-a"), 7)]))
+            await harness.settle()
+            assert {daemon.watcher.out_of_service for daemon in harness.daemons} == {
+                frozenset({"dc-a"})
+            }
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("value", [7, {}, {"version": "x"}, {"version": int(400 * "9")}])
+    def test_accepted_note_is_not_applied_again_if_its_row_is_odd(self, value):
+        async def scenario(harness):
+            note = make_note("a", added=CLINIC)
+            assert_accepted(await harness.submit(note), 1)
+            harness.store.apply(Transaction(puts=[Put(accepted_key("a"), value)]))
+            assert_accepted(await harness.submit(note), 0)
+            assert_accepted(await harness.daemons[0].service.status("a"), 0)
+
+        run_scenario(scenario)
