A row whose bytes are not JSON is no longer taken for a deleted one

What callers saw: an accepted job with such a row was unknown (410), and "queued" with such progress. Operators: a worker with such an entry looked deregistered, without a line that tells why; a request to evacuate a data centre counted as withdrawn; a configuration counted as confirmed, so that keys that it withdraws stayed valid. A note could fail for the row of a job that it only checked for deletion.

Cause: the store's adapter gave such a row the value None, which stands for a deletion.

Change: such a row has the value Unreadable, which no decoder accepts. Decoders of many rows leave it out with one line and count a version; a worker with such an entry gets no new task, keeps its runs and its record. A caller whose job has such a row gets 500, with a line and the counter front.unreadable_rows. Unreadable requests to cancel a job are left out, as before.

--- a/src/jaypier/core/codec.py
+++ b/src/jaypier/core/codec.py
@@ -117,5 +117,12 @@
         return lenient_converter.structure(value, expected)
     except cattrs.BaseValidationError as error:
         raise DecodeError(cattrs.transform_error(error)) from error
-    except (ArithmeticError, LookupError, RecursionError, TypeError, ValueError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise DecodeError([str(error)]) from error
--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -11,6 +11,7 @@
 import structlog
 
 from jaypier.core.clock import Clock
+from jaypier.core.codec import DecodeError
 from jaypier.core.metrics import Metrics
 from jaypier.entry.configuration import Configuration, Route
 from jaypier.entry.requests import build_job
@@ -28,6 +29,7 @@
     pending_response,
     state_response,
 )
+from jaypier.platform.decoding import describe_error
 from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.messages import HttpRequest, HttpResponse
@@ -284,6 +286,10 @@
             except PlatformRefused as error:
                 log.error("request rejected by store", job=call.job_id, reason=str(error))
                 return error_response(500, "internal error")
+            except DecodeError as error:
+                self.metrics.count("front.unreadable_rows")
+                log.error("stored row unreadable", job=call.job_id, reason=describe_error(error))
+                return error_response(500, "internal error")
             now = self.clock.now()
             retry_until = call.deadline if may_have_run else began + STORE_RETRY_TIMEOUT_SECONDS
             is_over = now + STORE_RETRY_DELAY_SECONDS >= min(call.deadline, retry_until)
--- a/src/jaypier/entry/tests/test_caller_api.py
+++ b/src/jaypier/entry/tests/test_caller_api.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import math
 import random
 
 import attrs
@@ -17,6 +18,7 @@
     decode_refusal,
 )
 from jaypier.platform import Condition, ConditionFailed, PlatformUnavailable, Put, Transaction
+from jaypier.platform.model import Unreadable
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.wire.messages import HttpRequest
@@ -598,3 +600,40 @@
             assert await harness.state() == "queued"
 
         run_scenario(scenario)
+
+
+ODD_VALUES = [Unreadable("not JSON"), 7, [], {"queue": "x", "status": "odd"}, {"id": {}}]
+
+
+class TestOddRows:
+    @pytest.mark.parametrize("value", ODD_VALUES)
+    @pytest.mark.parametrize("key", [f"progress/{JOB}", f"jobs/{JOB}"])
+    def test_state_of_a_job_is_not_guessed_from_an_odd_row(self, key, value):
+        # Regression: it was "queued" by unreadable progress, and unknown by an unreadable row.
+        async def scenario(harness):
+            assert (await harness.submit()).status == 200
+            harness.store.apply_from_operator(Transaction(puts=[Put(key, value)]))
+            response = await harness.call("GET", f"/common/{JOB}")
+            assert response.status == 500
+            assert harness.caller_api.metrics.counters["front.unreadable_rows"] == 1
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("value", ODD_VALUES)
+    def test_odd_row_of_a_job_is_neither_accepted_nor_refused(self, value):
+        async def scenario(harness):
+            odd = Transaction(puts=[Put(f"jobs/{JOB}", value)])
+            harness.store.apply_from_operator(odd)
+            assert (await harness.submit()).status == 500
+            assert (await harness.call("DELETE", f"/common/{JOB}")).status == 500
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("value", [*ODD_VALUES, {"a": math.inf}, {"a": []}])
+    def test_odd_numbers_of_pending_jobs_are_no_answer(self, value):
+        async def scenario(harness):
+            odd = Transaction(puts=[Put("queues/pending", value)])
+            harness.store.apply_from_operator(odd)
+            assert (await harness.call("GET", "/common/")).status == 500
+
+        run_scenario(scenario)
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -124,13 +124,13 @@
     :param version: version of the store up to which the rows are complete.
     :param left_out: observes the rows that cannot be decoded.
     """
-    present = [row for row in rows if row.value is not None]
-    cancelled = [
-        row.name.removesuffix(CANCEL_SUFFIX) for row in present if row.name.endswith(CANCEL_SUFFIX)
-    ]
-    versions = {row.name: row.version for row in present}
-    others = [row for row in present if not row.name.endswith(CANCEL_SUFFIX)]
-    decoded = list(decode_valid(others, decode_job_or_refusal, left_out or LeftOutRows()))
+    left_out = left_out or LeftOutRows()
+    cancellations = [row for row in rows if row.name.endswith(CANCEL_SUFFIX)]
+    valid = decode_valid(cancellations, lambda value: value, left_out)
+    cancelled = [row.name.removesuffix(CANCEL_SUFFIX) for row, _ in valid]
+    others = [row for row in rows if not row.name.endswith(CANCEL_SUFFIX)]
+    decoded = list(decode_valid(others, decode_job_or_refusal, left_out))
+    versions = {row.name: row.version for row, _ in decoded}
     accepted = [job for row, job in decoded if isinstance(job, Job) and row.key == job_key(job.id)]
     refusals = {row.name: row.version for row, each in decoded if isinstance(each, Refusal)}
     return JobChanges(accepted, cancelled, version, refusals, versions)
@@ -332,6 +332,7 @@
     async def find(self, job_id: str) -> Job | None:
         """Return an accepted job, or ``None`` when it is not stored.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(job_key(job_id))
@@ -342,6 +343,7 @@
     async def progress(self, job_id: str) -> JobProgress | None:
         """Return the recorded progress of a job, or ``None`` when none is recorded.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(progress_key(job_id))
@@ -359,7 +361,8 @@
     async def pending(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue, as last written by the leader.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(PENDING_KEY)
-        return dict(row.value) if row is not None and row.value else {}
+        return {} if row is None else from_plain(row.value, dict[str, int])
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -9,7 +9,7 @@
 import attrs
 import structlog
 
-from jaypier.core.codec import to_compact, to_plain
+from jaypier.core.codec import DecodeError, to_compact, to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.model import WorkerEntry
 from jaypier.jobs.rows import JobTable, cancel_key, job_key
@@ -243,11 +243,24 @@
         return frozenset(name for name, ended in zip(names, has_ended, strict=True) if ended)
 
     async def has_ended(self, job_id: str) -> bool:
-        """Return whether a job has a final status, or had one and its rows have been deleted."""
-        progress = await self.jobs.progress(job_id)
-        if progress is not None:
-            return progress.status.is_final
-        return await self.jobs.find(job_id) is None
+        """Return whether a job has a final status, or had one and its rows have been deleted.
+
+        A job whose progress cannot be decoded counts as one that has not ended.
+        """
+        try:
+            progress = await self.jobs.progress(job_id)
+        except DecodeError:
+            return False
+        return (
+            progress.status.is_final if progress is not None else not await self.is_stored(job_id)
+        )
+
+    async def is_stored(self, job_id: str) -> bool:
+        """Return whether a job is stored, also if its row cannot be decoded."""
+        try:
+            return await self.jobs.find(job_id) is not None
+        except DecodeError:
+            return True
 
     async def expired_job_rows(self, note: ReleaseNote, max_rows: int) -> list[str]:
         """Return keys of entity rows whose jobs are no longer stored.
@@ -261,9 +274,12 @@
         sample_size = min(max_rows, len(names), 2 * len(named) + CLEANUP_MARGIN)
         sample = self.rng.sample(names, max(0, sample_size))
         ids = [self.cache.jobs[name].id for name in sample]
-        found = await asyncio.gather(*(self.jobs.find(job_id) for job_id in ids))
-        stored_jobs = dict(zip(sample, found, strict=True))
-        return [entity_row_key("jobs", name) for name in sample if stored_jobs[name] is None]
+        are_stored = await asyncio.gather(*(self.is_stored(job_id) for job_id in ids))
+        return [
+            entity_row_key("jobs", name)
+            for name, is_stored in zip(sample, are_stored, strict=True)
+            if not is_stored
+        ]
 
     async def catch_up(self, error: ConditionFailed) -> None:
         """Wait until the cache contains the note that was committed first."""
--- a/src/jaypier/platform/decoding.py
+++ b/src/jaypier/platform/decoding.py
@@ -6,8 +6,9 @@
 
 import structlog
 
+from jaypier.core.codec import DecodeError
 from jaypier.core.metrics import Metrics
-from jaypier.platform.model import Row
+from jaypier.platform.model import Row, Unreadable
 
 T = TypeVar("T")
 
@@ -70,6 +71,8 @@
         if row.value is None:
             continue
         try:
+            if isinstance(row.value, Unreadable):
+                raise DecodeError([row.value.reason])
             decoded = decode(row.value)
         except Exception as error:
             left_out.observe(row, error)
--- a/src/jaypier/platform/model.py
+++ b/src/jaypier/platform/model.py
@@ -5,12 +5,23 @@
 import attrs
 
 
+@attrs.frozen
+class Unreadable:
+    """Value of a row whose bytes are not JSON; no decoder accepts it.
+
+    :param reason: why they cannot be read.
+    """
+
+    reason: str
+
+
 @attrs.frozen
 class Row:
     """A row of the table store.
 
     :param key: unique key, ``"TABLE/NAME"``.
-    :param value: plain JSON value; ``None`` for a deleted or undecodable row.
+    :param value: plain JSON value; ``None`` for a deleted row, ``Unreadable`` for one whose bytes
+        are not JSON.
     :param version: number that increases with each write of the row, at least 1.
     """
 
--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -19,7 +19,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from jaypier.platform.model import Changes, Row, Transaction
+from jaypier.platform.model import Changes, Row, Transaction, Unreadable
 from jaypier.wire.client import PART_TIMEOUT_SECONDS
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
@@ -172,14 +172,19 @@
 
 
 def _decode_row(row: dict[str, Any]) -> Row:
-    """Decode one row; a deleted row, or one whose value is not JSON, has the value ``None``."""
-    try:
-        value = None if row.get("Deleted") else json.loads(base64.b64decode(row["Value"]))
-    except (ValueError, TypeError, KeyError, RecursionError):
-        value = None
+    value = None if row.get("Deleted") else _decode_value(row.get("Value"))
     return Row(f"{row['Table']}/{row['Key']}", value, row["RowVersion"])
 
 
+def _decode_value(encoded: Any) -> Any:
+    try:
+        value = json.loads(base64.b64decode(encoded))
+    except (TypeError, ValueError, RecursionError) as error:
+        return Unreadable(f"not JSON in base64: {error}")
+    # A deletion alone has the value ``None``.
+    return Unreadable("null") if value is None else value
+
+
 def _decode_body(response: HttpResponse) -> dict[str, Any]:
     try:
         body = msgspec.json.decode(response.body)
--- a/standins/protocol.py
+++ b/standins/protocol.py
@@ -33,6 +33,21 @@
 REFUSAL_NAMES = {refusal: name for name, refusal in START_REFUSALS.items()}
 
 
+@attrs.frozen
+class RawValue:
+    """Value of a row as another writer may leave it.
+
+    :param text: what the store returns as the value, ``None`` for nothing.
+    """
+
+    text: str | None
+
+    @classmethod
+    def from_bytes(cls, value: bytes) -> "RawValue":
+        """Return the value of a row with these bytes, which need not be JSON."""
+        return cls(base64.b64encode(value).decode())
+
+
 def encode_response(status: int, value: Any = None) -> HttpResponse:
     """Return a JSON response; its body is an empty object if there is no value."""
     return json_response(status, msgspec.json.encode({} if value is None else value))
@@ -44,6 +59,8 @@
     encoded = {"Table": table, "part": "", "Key": name, "RowVersion": row.version}
     if row.value is None:
         return {**encoded, "Deleted": True}
+    if isinstance(row.value, RawValue):
+        return encoded if row.value.text is None else {**encoded, "Value": row.value.text}
     return {**encoded, "Value": base64.b64encode(msgspec.json.encode(row.value)).decode()}
 
 
@@ -302,6 +319,11 @@
         put = Put(f"servers/{worker.entry.id}", encode_worker(worker))
         self.cluster.store.apply(Transaction(puts=[put]))
 
+    def write_odd_entry(self, name: str, value: RawValue) -> None:
+        """Write an entry among those of the workers, as another writer may."""
+        put = Put(f"servers/{name}", value)
+        self.cluster.store.apply_from_operator(Transaction(puts=[put]))
+
     def write_configuration(self, configuration: dict[str, Any]) -> None:
         """Write a configuration to the store, as operators of the platform do."""
         self.cluster.store.apply_from_operator(Transaction(puts=[Put("op/config", configuration)]))
@@ -311,4 +333,4 @@
         self.cluster.store.apply(Transaction(puts=[Put(f"op/evacuate/{data_centre}", {})]))
 
 
-__all__ = ["PlatformServers", "encode_configuration", "encode_worker"]
+__all__ = ["PlatformServers", "RawValue", "encode_configuration", "encode_worker"]
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -11,7 +11,7 @@
 from jaypier.jobs.model import Resources, RunOutcome
 from standins.cluster import LIMIT_PROPAGATION_SECONDS
 from standins.deployment import ConfigurationSource, Deployment, send_request
-from standins.protocol import encode_configuration
+from standins.protocol import RawValue, encode_configuration
 from standins.proxy import ProxyMode
 
 VMS = 3
@@ -181,3 +181,31 @@
         if response.status != 504:
             break
     assert response.status == 200, response
+
+
+class TestOddWorkerEntries:
+    @pytest.mark.parametrize("text", ["{no JSON", 200_000 * "["])
+    def test_worker_whose_entry_turns_odd_keeps_its_runs(self, tmp_path, text):
+        async def scenario(deployment):
+            job, cluster = "00000000000000d1", deployment.cluster
+            response = await deployment.call_as_caller(
+                0, "POST", f"/common/{job}", job_body(1, 4.0, Gpu=8)
+            )
+            assert response.status == 200
+            while not cluster.runs:
+                await asyncio.sleep(0.02)
+            (_, _, worker), *_ = cluster.runs
+            deployment.servers.write_odd_entry(worker, RawValue.from_bytes(text.encode()))
+            await asyncio.sleep(1.0)
+            await deployment.stop(deployment.find_leader(), signal.SIGKILL)
+            await wait_for_state(deployment, job, "completed", 25)
+            assert len(cluster.runs) == 1
+            logs = "".join(deployment.read_log(number) for number in range(VMS))
+            assert f'"key": "servers/{worker}"' in logs
+            # The worker gets no new work until its entry is valid again.
+            for job in (f"00000000000000e{number}" for number in range(4)):
+                await deployment.call_any("POST", f"/common/{job}", job_body(1, 0.3))
+                await wait_for_state(deployment, job, "completed", 15)
+            assert [key[2] for key in cluster.runs].count(worker) == 1
+
+        run_scenario(scenario, tmp_path)
