An entry with names or an address that no worker can have names no worker

What callers saw: jobs that were submitted around a change of the leader waited: new leaders wait for the workers that have not reported, and such entries named ones that can never be reached. In a trial with real processes, five entries under other ids (20,000 labels; a line break in the zone; and three well-formed ones with an unknown field of 400 digits, 1e999 or NaN) beside 4 workers kept a job queued for over 25 s after the leader was killed. Each write of the leader logged an entry with 20,000 labels as too long to be recorded. Well-formed entries that name no worker still delay a takeover; that is the takeover's matter, not the decoder's.

Cause: names with line breaks, of any length and in any number were accepted, and "Labels" of any type that has a length. Address.parse accepted a scope with any characters ("fe80::1%\0") and ports like "8_0".

Change: names are printable and at most 200 characters long, labels are a list of at most 100, an address has no scope and digits alone as its port. Fields that jaypier does not know may hold anything.

The process test plays 32 odd entries: one leadership, no process ends, jobs are done, also by the next leader.

--- a/src/jaypier/core/address.py
+++ b/src/jaypier/core/address.py
@@ -27,7 +27,9 @@
         host = host.removeprefix("[").removesuffix("]")
         try:
             ipaddress.ip_address(host)
-            port_number = int(port)
+            # Python accepts a scope of any characters after "%", and more than digits in a number.
+            is_exact = "%" not in host and port.isascii() and port.isdecimal()
+            port_number = int(port) if is_exact else 0
         except ValueError:
             port_number = 0
         if not separator or not 0 < port_number < 65536:
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import math
 
 import pytest
 
@@ -28,6 +29,13 @@
 }
 
 
+def nested(levels: int) -> list:
+    value: list = []
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
 class TestWorkerEntries:
     def test_entry_is_decoded(self):
         entry = decode_worker(Row("servers/i-1", ENTRY, 3), LeftOutRows())
@@ -60,6 +68,15 @@
             {"Labels": 3},
             {"Service": None},
             {"Machine": 7},
+            {"Address": "[fe80::1%\0]:80"},
+            {"Address": "[fe80::1%a\nb]:80"},
+            {"Capacity": nested(900)},
+            {"Service": nested(900)},
+            {"Service": {}},
+            {"State": nested(900)},
+            {"Labels": nested(900)},
+            {"Labels": "ab"},
+            {"born": int(400 * "9")},
         ],
     )
     def test_malformed_entry_is_ignored(self, change):
@@ -96,6 +113,29 @@
             is None
         )
 
+    @pytest.mark.parametrize("text", ["a\nb", "x" * 60_000, "\0", "a\r\nx: y"])
+    @pytest.mark.parametrize("field", ["Service", "Zone", "Machine", "Labels", "id"])
+    def test_entry_with_a_name_that_cannot_be_one_is_ignored(self, field, text):
+        # Regression: such a worker was never reached or recorded, but waited for by new leaders.
+        name = text if field == "id" else "i-1"
+        entry = ENTRY | ({} if field == "id" else {field: [text] if field == "Labels" else text})
+        assert decode_worker(Row(f"servers/{name}", entry, 3), LeftOutRows()) is None
+
+    def test_entry_with_too_many_labels_is_ignored(self):
+        # Regression: it was too long to be recorded, which each write of the leader logged.
+        entry = {**ENTRY, "Labels": [str(number) for number in range(20_000)]}
+        assert decode_worker(Row("servers/i-1", entry, 3), LeftOutRows()) is None
+
+    @pytest.mark.parametrize("port", ["0", "-1", "65536", str(10**30), "8_0", "+80", " 80", "٨٠"])
+    def test_entry_with_a_port_out_of_range_is_ignored(self, port):
+        entry = {**ENTRY, "Address": f"10.0.0.1:{port}"}
+        assert decode_worker(Row("servers/i-1", entry, 3), LeftOutRows()) is None
+
+    def test_unknown_field_of_any_value_is_ignored(self):
+        entry = {**ENTRY, "x": int(400 * "9"), "y": math.inf, "z": nested(900)}
+        odd = decode_worker(Row("servers/i-1", entry, 3), LeftOutRows())
+        assert odd == decode_worker(Row("servers/i-1", ENTRY, 3), LeftOutRows())
+
     @pytest.mark.parametrize("value", [None, [], "text", 7, {}])
     def test_entry_that_is_not_a_worker_object_is_ignored(self, value):
         assert decode_worker(Row("servers/i-1", value, 3), LeftOutRows()) is None
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -44,6 +44,12 @@
 MAX_INTEGER = 1 << 53
 """Largest magnitude of a number in an entry: up to it, JSON numbers are exact in all languages."""
 
+MAX_NAME_CHARACTERS = 200
+"""Longest name in an entry: as long as a key of the store, such as the id of a worker."""
+
+MAX_LABELS = 100
+"""Largest number of labels of a worker, which has two: its kind and its rack."""
+
 RUN_OUTCOMES = {
     "done": RunOutcome.DONE,
     "failed": RunOutcome.FAILED,
@@ -88,15 +94,17 @@
     capacity, labels = entry["Capacity"], entry["Labels"]
     state = entry["State"]
     if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
+        raise ValueError(f"expected the state ready or draining, got {state!r}")
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise ValueError(f"expected a list of at most {MAX_LABELS} labels")
     remaining_millis = entry.get("RemainingMs", DEFAULT_DRAIN_SECONDS * 1000)
     return WorkerEntry(
-        id=worker_id,
-        service=_decode_string(entry["Service"]),
+        id=_decode_name(worker_id),
+        service=_decode_name(entry["Service"]),
         address=Address.parse(_decode_string(entry["Address"])),
-        data_centre=_decode_string(entry["Zone"]),
-        rack=_decode_string(labels[1]) if len(labels) > 1 else "",
-        labels=frozenset(_decode_string(label) for label in labels),
+        data_centre=_decode_name(entry["Zone"]),
+        rack=_decode_name(labels[1]) if len(labels) > 1 else "",
+        labels=frozenset(_decode_name(label) for label in labels),
         capacity=Resources(
             _decode_integer(capacity["Cpu"], minimum=0),
             _decode_integer(capacity["MemMb"], minimum=0),
@@ -106,7 +114,7 @@
         born=_decode_integer(entry.get("born", 0)),
         clock=_decode_integer(entry.get("ClockMs", 0)),
         remaining_seconds=_decode_integer(remaining_millis) / 1000,
-        machine=_decode_string(entry.get("Machine", "")),
+        machine=_decode_name(entry.get("Machine", "")),
     )
 
 
@@ -118,6 +126,16 @@
     return value
 
 
+def _decode_name(value: Any) -> str:
+    """Decode a name; one with line breaks, or too long to be stored again, is no name."""
+    name = _decode_string(value)
+    if len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+        raise ValueError(
+            f"expected a printable name of at most {MAX_NAME_CHARACTERS} characters, got {name!r}"
+        )
+    return name
+
+
 def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -1,6 +1,7 @@
 """Tests of daemons as separate processes against the platform's protocol on loopback."""
 
 import asyncio
+import json
 import signal
 from collections import Counter
 from pathlib import Path
@@ -11,7 +12,7 @@
 from jaypier.jobs.model import Resources, RunOutcome
 from standins.cluster import LIMIT_PROPAGATION_SECONDS
 from standins.deployment import ConfigurationSource, Deployment, send_request
-from standins.protocol import RawValue, encode_configuration
+from standins.protocol import RawValue, encode_configuration, encode_worker
 from standins.proxy import ProxyMode
 
 VMS = 3
@@ -183,7 +184,59 @@
     assert response.status == 200, response
 
 
+def odd_entries(deployment: Deployment) -> dict[str, RawValue]:
+    """Return entries that another writer may leave among those of the workers, by name."""
+    valid = encode_worker(next(iter(deployment.cluster.workers.values())))
+    address = "10.0.0.1"
+    changed = [
+        *({"Address": f"{address}:{port}"} for port in (0, -1, 65536, 10**30)),
+        {"Labels": [str(number) for number in range(20_000)]},
+        {"Zone": "a\nb\r\nx: y"},
+        {"Capacity": {"Cpu": 10**400, "MemMb": 1, "Gpu": 1}},
+        {"Capacity": None},
+        {"State": "resting"},
+    ]
+    texts = [json.dumps({**valid, **each}) for each in changed]
+    for number in (400 * "9", 6000 * "9", "1e999", "NaN"):
+        texts.append(json.dumps({**valid, "born": 0})[:-2] + f"{number}}}")
+    for levels in (100, 900, 990, 20_000, 200_000):
+        nested = levels * "[" + levels * "]"
+        objects = levels * '{"a":' + "1" + levels * "}"
+        texts += [nested, objects, json.dumps({**valid, "Labels": 0})[:-2] + f"{nested}}}"]
+    values = [RawValue.from_bytes(text.encode()) for text in texts]
+    values += [RawValue(None), RawValue(""), RawValue("!"), RawValue.from_bytes(b"{no JSON")]
+    names = [f"odd-{number}" for number in range(len(values))]
+    return dict(zip([*names[:-2], "odd\nname\r\nx: y", "x" * 200], values, strict=True))
+
+
 class TestOddWorkerEntries:
+    def test_odd_entries_end_no_process_and_jobs_are_done(self, tmp_path):
+        # Regression (LOST): processes that read the list of workers ended or stopped following it.
+        async def scenario(deployment):
+            await submit_until_accepted(deployment, 0, "00000000000000c1")
+            await wait_for_state(deployment, "00000000000000c1", "completed", 15)
+            entries = odd_entries(deployment)
+            for name, value in entries.items():
+                deployment.servers.write_odd_entry(name, value)
+            await asyncio.sleep(1.0)
+            await submit_until_accepted(deployment, 1, "00000000000000c2")
+            await wait_for_state(deployment, "00000000000000c2", "completed", 15)
+            logs = [deployment.read_log(number) for number in range(VMS)]
+            assert sum(log.count("leadership began") for log in logs) == 1
+            for event in ("background task failed", "leader task failed", "cannot be applied"):
+                assert not any(event in log for log in logs)
+            left_out = sum(log.count("row left out: cannot be decoded") for log in logs)
+            assert left_out == len(entries)
+            assert all(process.returncode is None for process in deployment.processes.values())
+            # The next leader reads the same list.
+            await deployment.stop(deployment.find_leader(), signal.SIGKILL)
+            job = "00000000000000c3"
+            await deployment.call_any("POST", f"/common/{job}", job_body(1, 0.3))
+            await wait_for_state(deployment, job, "completed", 25)
+            assert len(deployment.cluster.runs) == 3
+
+        run_scenario(scenario, tmp_path)
+
     @pytest.mark.parametrize("text", ["{no JSON", 200_000 * "["])
     def test_worker_whose_entry_turns_odd_keeps_its_runs(self, tmp_path, text):
         async def scenario(deployment):
