Numbers and names in the responses of workers are exact

What callers saw: nothing. What was wrong: a report was accepted with numbers of 400 digits (also those of ends, which are sent back), a percentage that is not finite, and a task index of -1, which names the step's last task. A deeply nested response, or a Reason that is a list, ended in an unexpected error, logged with a traceback each second.

Cause: int() and float() take more than the protocol's numbers, and the decoder expected five kinds of errors.

Before the change, 12 of the new cases fail (10 of TestReports, 2 of TestStartResponses).

Change: numbers are checked as in entries; names of tasks hold three decimal numbers of at most 15 digits; any error of the decoder makes the report count as none, with a short reason.

--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -19,6 +19,9 @@
 URGENT_PRIORITY = 0
 """Priority of urgent jobs: they may preempt others and are covered by their team's guarantee."""
 
+MAX_TASK_NUMBER_DIGITS = 15
+"""Most digits of a number in the name of a task."""
+
 
 @attrs.frozen
 class Resources:
@@ -246,8 +249,15 @@
 
         :raises ValueError: when the text has another form.
         """
-        job, occurrence, step, index = text.rsplit(".", 3)
-        return cls(job, int(occurrence), int(step), int(index))
+        job, *numbers = text.rsplit(".", 3)
+        is_valid = all(
+            each.isascii() and each.isdecimal() and len(each) <= MAX_TASK_NUMBER_DIGITS
+            for each in numbers
+        )
+        if len(numbers) != 3 or not is_valid:
+            raise ValueError("expected a task as JOB.OCCURRENCE.STEP.INDEX, with three numbers")
+        occurrence, step, index = map(int, numbers)
+        return cls(job, occurrence, step, index)
 
 
 @attrs.frozen
--- a/src/jaypier/platform/decoding.py
+++ b/src/jaypier/platform/decoding.py
@@ -52,7 +52,10 @@
 
 def describe_error(error: Exception) -> str:
     """Return the text of an error, shortened."""
-    text = str(error) or repr(error)
+    try:
+        text = str(error) or repr(error)
+    except RecursionError:
+        text = type(error).__name__
     return text if len(text) <= MAX_REASON_CHARACTERS else f"{text[:MAX_REASON_CHARACTERS]}..."
 
 
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -160,6 +160,22 @@
             {"Finished": [[1, "job.0.0.0", 1, ["done"], ""]]},
             {"Finished": [[1, "job.0.0.0", float("inf"), "done", ""]]},
             {"born": "yesterday"},
+            {"born": int(400 * "9")},
+            {"ClockMs": int(400 * "9")},
+            {"ClockMs": nested(900)},
+            {"ClockMs": True},
+            {"Active": [["job.0.0.0", int(400 * "9"), "", 0]]},
+            {"Active": [["job.0.0.0", -1, "", 0]]},
+            {"Active": [["job.0.0.0", 1, "", math.inf]]},
+            {"Active": [["job.0.0.0", 1, "", math.nan]]},
+            {"Active": [["job.0.0.0", 1, "", int(400 * "9")]]},
+            {"Active": [["job.0.0.0", 1, nested(900), 0]]},
+            {"Active": [[nested(900), 1, "", 0]]},
+            {"Active": [["job.0.0." + 400 * "9", 1, "", 0]]},
+            {"Active": [["job.0.0.-1", 1, "", 0]]},
+            {"Active": nested(900)},
+            {"Finished": [[int(400 * "9"), "job.0.0.0", 1, "done", ""]]},
+            {"Finished": [[1, "job.0.0.0", 1, nested(900), ""]]},
         ],
     )
     def test_malformed_report_counts_as_none(self, change):
@@ -201,6 +217,9 @@
             (409, "late", StartResponse.EXPIRED),
             (409, "room", StartResponse.NO_ROOM),
             (409, "another", StartResponse.REFUSED),
+            (409, ["room"], StartResponse.REFUSED),
+            (409, {}, StartResponse.REFUSED),
+            (409, math.inf, StartResponse.REFUSED),
             (429, None, StartResponse.UNHEALTHY),
             (503, None, StartResponse.UNHEALTHY),
             (400, None, StartResponse.REFUSED),
@@ -212,7 +231,8 @@
         assert self.start(status, json.dumps(body).encode()) is response
 
     @pytest.mark.parametrize(
-        ("status", "body"), [(500, b""), (502, b""), (504, b""), (409, b"{"), (302, b"")]
+        ("status", "body"),
+        [(500, b""), (502, b""), (504, b""), (409, b"{"), (409, 200_000 * b"["), (302, b"")],
     )
     def test_response_that_tells_nothing_counts_as_none(self, status, body):
         with pytest.raises(WorkerUnreachable):
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -24,7 +24,7 @@
     WorkerUnreachable,
 )
 from jaypier.platform.abstract import TableSource, WatchableTable
-from jaypier.platform.decoding import LeftOutRows, decode_valid
+from jaypier.platform.decoding import LeftOutRows, decode_valid, describe_error
 from jaypier.platform.model import Changes, Row
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
@@ -136,13 +136,17 @@
     return name
 
 
-def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
+def _decode_number(value: Any, minimum: int = -MAX_INTEGER) -> int | float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
     # NaN fails every comparison.
     if not minimum <= value <= MAX_INTEGER:
         raise ValueError(f"expected a number from {minimum} to {MAX_INTEGER}, got {value!r}")
-    return int(value)
+    return value
+
+
+def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
+    return int(_decode_number(value, minimum))
 
 
 class HttpWorkerLink(WorkerLink):
@@ -182,8 +186,10 @@
         _raise_for_status(response, response_body)
         try:
             return _decode_report(response_body)
-        except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            raise WorkerUnreachable(f"worker sent a malformed report: {error!r}") from error
+        except Exception as error:
+            # A report may fail in ways that the decoder does not foresee.
+            reason = describe_error(error)
+            raise WorkerUnreachable(f"worker sent a malformed report: {reason}") from error
 
     async def start(self, epoch: int, start_request: StartRequest) -> StartResponse:
         """Start a task; the request is idempotent.
@@ -207,7 +213,8 @@
             return StartResponse.UNHEALTHY
         if response.status == 409:
             reason = _decode_body(response).get("Reason")
-            return START_REFUSALS.get(reason, StartResponse.REFUSED)
+            is_known = isinstance(reason, str) and reason in START_REFUSALS
+            return START_REFUSALS[reason] if is_known else StartResponse.REFUSED
         if 400 <= response.status < 500:
             return StartResponse.REFUSED
         raise WorkerUnreachable(f"status {response.status}")
@@ -239,7 +246,8 @@
     try:
         body = json.loads(response.body) if response.body else {}
     except (ValueError, RecursionError) as error:
-        raise WorkerUnreachable(f"worker sent a response that is not JSON: {error}") from error
+        reason = describe_error(error)
+        raise WorkerUnreachable(f"worker sent a response that is not JSON: {reason}") from error
     return body if isinstance(body, dict) else {}
 
 
@@ -255,17 +263,23 @@
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     active = tuple(
-        ActiveRun(TaskId.parse(row[0]), int(row[1]), _decode_string(row[2] or ""), float(row[3]))
+        ActiveRun(
+            TaskId.parse(row[0]),
+            _decode_integer(row[1], minimum=0),
+            _decode_string(row[2] or ""),
+            float(_decode_number(row[3])),
+        )
         for row in body["Active"]
     )
     ended = tuple(
         EndedRun(
-            int(row[0]),
+            _decode_integer(row[0], minimum=0),
             TaskId.parse(row[1]),
-            int(row[2]),
+            _decode_integer(row[2], minimum=0),
             RUN_OUTCOMES[row[3]],
             _decode_string(row[4] or ""),
         )
         for row in body["Finished"]
     )
-    return WorkerReport(int(body.get("born", 0)), int(body["ClockMs"]), active, ended)
+    born, clock = _decode_integer(body.get("born", 0)), _decode_integer(body["ClockMs"])
+    return WorkerReport(born, clock, active, ended)
