An odd record of what was learned ends no leader and leaves out no job

What callers saw: accepted jobs that never start (LOST). With a logarithm of 1e6 or 1e300 in a queue's record, the expected duration of each of its jobs overflows, and the job is left out as if its own row were odd. With numbers as texts, each leader ended at its first write of the row; with a written_at of 400 digits, while it loaded its state.

Cause: restored sections checked types and finiteness, no ranges; LearnedState expected five kinds of errors, and none where it compares what is known with the record.

Change: fits and uses of teams outside of possible ranges are dropped; any error while a record is read, restored or compared drops that section with a line.

--- a/src/jaypier/jobs/learned.py
+++ b/src/jaypier/jobs/learned.py
@@ -11,6 +11,7 @@
 
 from jaypier.core.codec import encoded_size
 from jaypier.platform import Put
+from jaypier.platform.decoding import describe_error
 from jaypier.scheduling.learned_section import LearnedSection
 
 LEARNED_KEY = "learned/learned"
@@ -55,14 +56,15 @@
         try:
             age = wall_time - float(value["written_at"])
             records = dict(value["sections"])
-            version = value["version"]
-        except (LookupError, TypeError, ValueError) as error:
-            log.warning("learned state dropped", reason=f"cannot be decoded: {error!r}")
+            is_current = value["version"] == RECORD_VERSION
+        except Exception as error:
+            # A row of another writer may fail in ways that are not foreseen here.
+            reason = f"cannot be decoded: {describe_error(error)}"
+            log.warning("learned state dropped", reason=reason)
             return
-        if version != RECORD_VERSION:
-            log.warning(
-                "learned state dropped", reason=f"version {version}, expected {RECORD_VERSION}"
-            )
+        if not is_current:
+            reason = f"not of version {RECORD_VERSION}, which this build reads"
+            log.warning("learned state dropped", reason=reason)
             return
         if not -MAX_CLOCK_ERROR_SECONDS <= age <= MAX_AGE_SECONDS:
             log.warning("learned state dropped", reason="too old, or from the future", age=age)
@@ -77,11 +79,20 @@
         """Start from the record of one section."""
         try:
             section.restore(record)
-        except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as error:
-            log.warning("learned state dropped", section=name, reason=repr(error))
+        except Exception as error:
+            log.warning("learned state dropped", section=name, reason=describe_error(error))
         else:
             self.recorded[name] = record
 
+    def has_changed(self, name: str) -> bool:
+        """Return whether a section differs from its record, or its record cannot be compared."""
+        try:
+            return self.sections[name].differs(self.recorded.get(name, {}))
+        except Exception as error:
+            log.warning("learned state dropped", section=name, reason=describe_error(error))
+            self.recorded.pop(name, None)
+            return True
+
     def due_puts(self, now: float, wall_time: float, max_bytes: int) -> list[Put]:
         """Return the row if what is known has changed noticeably and it is due.
 
@@ -95,9 +106,7 @@
         age = now - self.recorded_at
         if age < MIN_INTERVAL_SECONDS:
             return []
-        has_changed = any(
-            section.differs(self.recorded.get(name, {})) for name, section in self.sections.items()
-        )
+        has_changed = any(self.has_changed(name) for name in self.sections)
         if not has_changed and not (self.recorded and age > MAX_AGE_SECONDS / 2):
             return []
         self.recorded_at = now
--- a/src/jaypier/jobs/tests/test_learned.py
+++ b/src/jaypier/jobs/tests/test_learned.py
@@ -12,7 +12,7 @@
 )
 from jaypier.jobs.model import JobStatus
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
-from jaypier.platform import Row
+from jaypier.platform import Put, Row, Transaction
 from jaypier.scheduling.learned_section import LearnedSection
 
 MAX_BYTES = 65536
@@ -31,6 +31,19 @@
         self.values = {str(name): float(value) for name, value in record.items()}
 
 
+def nested(levels: int) -> list:
+    value: list = []
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+ODD_NUMBERS = [
+    int(400 * "9"), 1e300, -1e300, math.inf, math.nan, 1e6, "1", "x", None, [], nested(300)
+]  # fmt: skip
+"""Values that another writer may leave where a number is expected."""
+
+
 def make_row(**values: float) -> dict:
     """Return the value of a row that was written at Unix time 1000."""
     learned = LearnedState({"numbers": Numbers(**values)})
@@ -102,6 +115,11 @@
             {"version": 1, "written_at": 1000.0, "sections": {"numbers": 7}},
             {"version": 1, "written_at": 1000.0, "sections": {"numbers": {"a": "x"}}},
             {"version": 1, "written_at": math.nan, "sections": {"numbers": {"a": 1.0}}},
+            {"version": 1, "written_at": int(400 * "9"), "sections": {"numbers": {"a": 1.0}}},
+            {"version": nested(900), "written_at": 1000.0, "sections": {"numbers": {"a": 1.0}}},
+            {"version": nested(200_000), "written_at": 1000.0, "sections": {"numbers": {}}},
+            {"version": 1, "written_at": 1000.0, "sections": {"numbers": {"a": nested(200_000)}}},
+            {"version": 1, "written_at": 1000.0, "sections": {"numbers": {"a": int(400 * "9")}}},
         ],
     )  # fmt: skip
     def test_damaged_row_is_dropped(self, value):
@@ -175,6 +193,36 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize("number", ODD_NUMBERS)
+    def test_odd_number_in_a_section_neither_ends_a_leader_nor_leaves_out_a_job(self, number):
+        # Regression (LOST): jobs were left out, or each write of the leader ended its leadership.
+        queue = make_job(make_step()).queue
+        fits = [[number if i == k else 9.0 for i in range(6)] for k in range(6)]
+        records = [
+            *({"durations": {queue: fit}} for fit in fits),
+            {"speeds": {"worker-00": number}},
+            {"shares": {"clinic": [number, 1.0]}},
+            {"shares": {"clinic": [1.0, number], "dairy": [number, number]}},
+        ]
+
+        async def scenario(harness):
+            for sections in records:
+                job = make_job(make_step(seconds=0.5))
+                harness.cluster.submit(job)
+                await harness.wait_status(job, JobStatus.COMPLETED, 60)
+                value = {"version": 1, "written_at": harness.clock.now(), "sections": sections}
+                harness.store.apply_from_operator(Transaction(puts=[Put(LEARNED_KEY, value)]))
+                leader = await self.replace_leader(harness)
+                harness.start_daemon("vm-a" if harness.leader_name == "vm-b" else "vm-b")
+                job = make_job(make_step(seconds=0.5))
+                harness.cluster.submit(job)
+                await harness.wait_status(job, JobStatus.COMPLETED, 20)
+                await asyncio.sleep(2 * MIN_INTERVAL_SECONDS)
+                assert harness.leaders[harness.leader_name] is leader
+                assert "leader.plan_failures" not in leader.metrics.counters
+
+        run_scenario(scenario)
+
     def test_lost_responses_delay_the_row(self):
         async def scenario(harness):
             harness.store.lost_response_probability = 0.5
--- a/src/jaypier/scheduling/durations.py
+++ b/src/jaypier/scheduling/durations.py
@@ -81,6 +81,9 @@
 MAX_RECORDED_STEPS = 16.0
 """Largest weight of a restored fit, so that what has changed meanwhile is soon learned."""
 
+MAX_RECORDED_LOG = 30.0
+"""Largest logarithm in a record: 300,000 years, or as many times an estimate."""
+
 
 @attrs.define
 class QueueFit:
@@ -325,10 +328,19 @@
     :raises TypeError: the same.
     """
     if len(values) != len(attrs.fields(QueueFit)):
-        raise ValueError(f"no fit of a queue: {values!r}")
+        raise ValueError(f"no fit of a queue: expected 6 numbers, got {len(values)}")
     fit = QueueFit(*(float(each) for each in values))
-    if not all(math.isfinite(each) for each in attrs.astuple(fit)) or fit.count <= 0:
-        raise ValueError(f"no fit of a queue: {values!r}")
+    means = (fit.mean_estimate, fit.mean_ratio)
+    squares = (fit.estimate_squares, fit.ratio_squares)
+    # Beside these bounds, products are bounded as well; a comparison with NaN fails.
+    is_possible = (
+        0 < fit.count < math.inf
+        and all(abs(each) <= MAX_RECORDED_LOG for each in means)
+        and all(0 <= each <= fit.count * MAX_RECORDED_LOG**2 for each in squares)
+        and abs(fit.products) <= fit.count * MAX_RECORDED_LOG**2
+    )
+    if not is_possible:
+        raise ValueError("no fit of a queue: its numbers are out of range")
     share = min(1.0, MAX_RECORDED_STEPS / fit.count)
     return attrs.evolve(
         fit,
--- a/src/jaypier/scheduling/team_shares.py
+++ b/src/jaypier/scheduling/team_shares.py
@@ -38,6 +38,9 @@
 MAX_RECORDED_TEAMS = 400
 """Largest number of teams in a record: about 12 KB."""
 
+MAX_RECORDED_USE = 1e12
+"""Largest number in a record."""
+
 MIN_USE = 1e-4
 """Service, and number of arrivals, below which a team is forgotten: a long time without any."""
 
@@ -232,5 +235,8 @@
         """
         restored = {}
         for team, (served, arrivals) in record.items():
-            restored[team] = TeamUse(max(0.0, float(served)), max(0.0, float(arrivals)))
+            use = TeamUse(max(0.0, float(served)), max(0.0, float(arrivals)))
+            if not (use.served <= MAX_RECORDED_USE and use.arrivals <= MAX_RECORDED_USE):
+                raise ValueError(f"use of a team out of range: {use}")
+            restored[team] = use
         self.uses = defaultdict(TeamUse, restored)
