A number of 400 digits in a caller's job is an invalid value, not an internal error

What callers saw: 500 instead of 400, and operators a traceback for each such request.

Cause: math.isfinite converts an integer to a float, which overflows.

Change: the comparison with the bounds decides alone (NaN fails it). Messages quote values shortened, so that a deeply nested one cannot exceed the depth of recursion. A request that operators ask about is decoded without being encoded again.

--- a/src/jaypier/entry/requests.py
+++ b/src/jaypier/entry/requests.py
@@ -1,12 +1,14 @@
 """Requests for jobs: those that callers send, and those that operators ask about before."""
 
+from reprlib import repr as shorten
+
 import msgspec
 
 from jaypier.entry.configuration import Configuration, Route, Team
 from jaypier.jobs.cluster_state import ClusterState
 from jaypier.jobs.model import Job
 from jaypier.jobs.state import JobState, new_job_state
-from jaypier.platform.callers import BadRequest, JobRequest, decode_job
+from jaypier.platform.callers import BadRequest, JobRequest, decode_job_value
 
 REQUEST_ID = "(request)"
 """Id of the job of such a request; no job of a caller or a note can have it."""
@@ -29,13 +31,13 @@
         raise BadRequest("body must be an object with queue, team and job")
     route = next((each for each in configuration.routes if each.queue == value["queue"]), None)
     if route is None:
-        raise BadRequest(f"no queue {value['queue']!r}")
+        raise BadRequest(f"no queue {shorten(value['queue'])}")
     team = next((each for each in configuration.teams if each.name == value["team"]), None)
     if team is None:
-        raise BadRequest(f"no team {value['team']!r}")
+        raise BadRequest(f"no team {shorten(value['team'])}")
     if route.needs_placement_advice:
         raise BadRequest("queues that need advice are not supported")
-    request = decode_job(msgspec.json.encode(value["job"]))
+    request = decode_job_value(value["job"])
     return build_job(REQUEST_ID, route, team.name, request, wall_time), team
 
 
--- a/src/jaypier/entry/tests/test_daemon.py
+++ b/src/jaypier/entry/tests/test_daemon.py
@@ -137,4 +137,10 @@
         assert list(daemon.leader.cluster_state.jobs) == jobs
         for wrong in ({}, {**self.REQUEST, "queue": "none"}, {**self.REQUEST, "team": "none"}):
             assert daemon.explain_request(json.dumps(wrong).encode()).status == 422
+        digits, nested = 400 * "9", 900 * "[" + 900 * "]"
+        for name in ("queue", "team", "job"):
+            for odd in (digits, nested, f'{{"Spec": {nested}}}', f'{{"x": {digits}}}'):
+                others = json.dumps({key: self.REQUEST[key] for key in self.REQUEST if key != name})
+                body = f'{others[:-1]}, "{name}": {odd}}}'
+                assert daemon.explain_request(body.encode()).status == 422, body
         assert daemon.explain_request(b"{").status == 422
--- a/src/jaypier/platform/callers.py
+++ b/src/jaypier/platform/callers.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping
+from reprlib import repr as shorten
 from typing import Any
 
 import attrs
@@ -85,6 +86,14 @@
         value = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise BadRequest(f"body is not JSON: {error}") from error
+    return decode_job_value(value)
+
+
+def decode_job_value(value: Any) -> JobRequest:
+    """Decode a job from plain JSON values.
+
+    :raises BadRequest: if a value is invalid; the message names it.
+    """
     if not isinstance(value, dict):
         raise BadRequest("body must be an object with Spec and Phases")
     payload = value.get("Spec", "")
@@ -145,15 +154,16 @@
 ) -> int:
     number = value.get(name, default)
     is_number = isinstance(number, int | float) and not isinstance(number, bool)
-    if not is_number or not math.isfinite(number) or not minimum <= number <= maximum:
-        raise BadRequest(f"{path}.{name} is {number!r}; expected {minimum} to {maximum}")
+    # NaN fails every comparison.
+    if not is_number or not minimum <= number <= maximum:
+        raise BadRequest(f"{path}.{name} is {shorten(number)}; expected {minimum} to {maximum}")
     return int(number)
 
 
 def _decode_boolean(value: Mapping[str, Any], name: str, path: str) -> bool:
     flag = value.get(name, False)
     if not isinstance(flag, bool):
-        raise BadRequest(f"{path}.{name} is {flag!r}; expected true or false")
+        raise BadRequest(f"{path}.{name} is {shorten(flag)}; expected true or false")
     return flag
 
 
@@ -162,7 +172,7 @@
     if isinstance(text, list) and len(text) == 1:
         text = text[0]
     if not isinstance(text, str):
-        raise BadRequest(f"{path}.{name} is {text!r}; expected a text")
+        raise BadRequest(f"{path}.{name} is {shorten(text)}; expected a text")
     return text
 
 
--- a/src/jaypier/platform/tests/test_callers.py
+++ b/src/jaypier/platform/tests/test_callers.py
@@ -85,6 +85,27 @@
             decode_job(body)
         assert message in str(caught.value)
 
+    @pytest.mark.parametrize("number", [400 * "9", "1e308", "-1"])
+    @pytest.mark.parametrize(
+        "name", ["Count", "Cpu", "MemMb", "Gpu", "EstimatedMs", "AntiAffinity", "TargetMs"]
+    )
+    def test_number_out_of_range_is_rejected(self, name, number):
+        # Regression: a number of 400 digits was an internal error.
+        with pytest.raises(BadRequest):
+            decode_job(f'{{"Spec": "x", "Phases": [{{"{name}": {number}}}]}}'.encode())
+
+    @pytest.mark.parametrize("value", [400 * "9", 900 * "[" + 900 * "]"])
+    @pytest.mark.parametrize("name", ["Spec", "Phases", "RepeatCount", "StartAtMs", "IntervalMs"])
+    def test_odd_value_of_a_job_is_rejected(self, name, value):
+        with pytest.raises(BadRequest):
+            decode_job(f'{{"Phases": [{{"Cpu": 1}}], "{name}": {value}}}'.encode())
+
+    @pytest.mark.parametrize("name", ["Count", "GangScheduled", "Requirements", "After"])
+    def test_deeply_nested_value_of_a_step_is_rejected(self, name):
+        value = 900 * "[" + 900 * "]"
+        with pytest.raises(BadRequest):
+            decode_job(f'{{"Phases": [{{"{name}": {value}}}]}}'.encode())
+
     def test_deeply_nested_body_is_rejected(self):
         with pytest.raises(BadRequest):
             decode_job(b"[" * 200_000)
