An odd load summary refuses no job and fails no request

What callers saw: with overload.refuses, while the leader's row held such a summary (up to 2 s after its last renewal), each submission got 500 or 429.

Cause: decode_summary checked types alone; a wait that is infinite or NaN, or a capacity of 400 digits, failed in the decision, and a capacity of -1 or 1e300 made every worker too small or every job too large.

Change: a summary with a number outside 0 to 2^53 counts as none.

--- a/src/jaypier/scheduling/overload.py
+++ b/src/jaypier/scheduling/overload.py
@@ -5,6 +5,7 @@
 work that certainly comes first counts as ahead, as if it filled the workers without gaps.
 """
 
+import itertools
 import math
 from collections.abc import Iterable
 from typing import Any
@@ -16,6 +17,7 @@
 from jaypier.jobs.model import URGENT_PRIORITY, Job, Resources
 from jaypier.jobs.state import JobState, Worker
 from jaypier.jobs.valuation import MIN_ROOM_SECONDS, Valuation, ValueSettings
+from jaypier.platform.decoding import describe_error
 from jaypier.scheduling.rooms import remaining_room_seconds, room_share
 
 MAX_SUMMARY_AGE_SECONDS = 2.0
@@ -27,6 +29,9 @@
 MAX_STEPS = 4
 """Number of steps of a wait curve, so that the leader's row stays small."""
 
+MAX_SUMMARY_NUMBER = 1 << 53
+"""Largest number in a valid summary; no score, wait or capacity comes near it."""
+
 MAX_CAPACITIES = 3
 """Largest number of different capacities of a pool's workers in a summary."""
 
@@ -100,10 +105,18 @@
     if value is None:
         return None
     try:
-        return from_plain(value, LoadSummary)
+        summary = from_plain(value, LoadSummary)
     except DecodeError as error:
-        log.debug("load summary left out: cannot be decoded", reason=str(error))
+        log.debug("load summary left out: cannot be decoded", reason=describe_error(error))
+        return None
+    loads = summary.pools.values()
+    numbers = itertools.chain.from_iterable(
+        group for load in loads for group in (*load.waits, *load.capacities)
+    )
+    if not all(0 <= number <= MAX_SUMMARY_NUMBER for number in numbers):
+        log.debug("load summary left out: cannot be decoded", reason="a number is out of range")
         return None
+    return summary
 
 
 @attrs.frozen
--- a/src/jaypier/scheduling/tests/test_overload.py
+++ b/src/jaypier/scheduling/tests/test_overload.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 import random
 
 import attrs
@@ -33,6 +34,13 @@
 """Every daemon reads each version of the leader's row, and bytes of the store are limited."""
 
 
+def nested(levels: int) -> list:
+    value: list = []
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
 def overload(*waits: tuple[float, float], capacity=CAPACITY) -> LoadSummary:
     return LoadSummary({"desk": PoolLoad(waits, (capacity,))})
 
@@ -201,6 +209,29 @@
         assert player.refused == []
 
 
+ODD_NUMBERS = [int(400 * "9"), math.inf, -math.inf, math.nan, -1.0, 1e300, "x", [], None]
+
+
+class TestOddSummaries:
+    @pytest.mark.parametrize("number", ODD_NUMBERS)
+    @pytest.mark.parametrize("field", ["score", "wait", "Cpu", "MemMb", "Gpu"])
+    def test_odd_number_refuses_nothing_and_fails_no_request(self, field, number):
+        # Regression: each submission failed, or was refused, while the leader's row held it.
+        numbers = {"score": 100.0, "wait": 60.0, "Cpu": 64000, "MemMb": 131072, "Gpu": 8}
+        score, wait, *capacity = (numbers | {field: number}).values()
+        value = {"pools": {"desk": {"waits": [[score, wait]], "capacities": [capacity]}}}
+        summary = decode_summary(value)
+        for job in (make_short_job(), make_job(make_step(accelerators=0))):
+            assert not decide(job, summary).is_refused
+
+    @pytest.mark.parametrize(
+        "value",
+        [7, [], "x", {}, nested(900), {"pools": nested(900)}, {"pools": {"desk": nested(900)}}],
+    )
+    def test_odd_summary_counts_as_none(self, value):
+        assert decode_summary(value) is None
+
+
 class TestLeaderRow:
     def test_summary_travels_with_renewals_and_ends_with_the_leadership(self):
         async def scenario():
