A configuration with odd values counts as not read

What callers saw: nothing so far, as the platform's store accepts only valid configurations. With such a one, a daemon would have taken names that are lists (its leader's update of limits and evacuated data centres then ends without a line), time-outs that are infinite or negative, and numbers of 400 digits; a deeply nested name ended the watch.

Cause: the decoder converted values without a check of types and ranges, and expected five kinds of errors.

Change: names are texts, numbers from 0 to 2^53; any error of the decoder counts as "not read", as before.

--- a/src/jaypier/platform/operators.py
+++ b/src/jaypier/platform/operators.py
@@ -1,6 +1,5 @@
 """Decodes what operators write to the store: the configuration, data centres out of service."""
 
-import math
 from typing import Any
 
 from jaypier.entry.configuration import (
@@ -11,8 +10,9 @@
 )
 from jaypier.jobs.model import Resources
 from jaypier.platform.abstract import TableSource, WatchableTable
+from jaypier.platform.decoding import describe_error
 from jaypier.platform.errors import PlatformUnavailable
-from jaypier.platform.model import Changes
+from jaypier.platform.model import Changes, Unreadable
 from jaypier.wire.server import HttpLimits
 
 OPERATORS_TABLE = "op"
@@ -22,6 +22,9 @@
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_TIMEOUT_MS = 3000
 
+MAX_AMOUNT = 1 << 53
+"""Largest valid number: up to it, JSON numbers are exact in all languages."""
+
 
 class StoreOperatorSource(TableSource[OperatorChanges]):
     """The rows that operators write to the store.
@@ -53,20 +56,23 @@
     """
     try:
         return _decode_configuration(value)
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+    except Exception as error:
+        # A value of another writer may fail in ways that are not foreseen here.
         raise PlatformUnavailable(
-            f"{CONFIGURATION_KEY} cannot be decoded: {error!r}", effect_unknown=False
+            f"{CONFIGURATION_KEY} cannot be decoded: {describe_error(error)}", effect_unknown=False
         ) from error
 
 
-def _decode_configuration(value: dict[str, Any]) -> Configuration:
+def _decode_configuration(value: Any) -> Configuration:
+    if isinstance(value, Unreadable):
+        raise ValueError(value.reason)
     return Configuration(
-        version=int(value["Version"]),
+        version=_decode_amount(value["Version"]),
         routes=tuple(_decode_route(route) for route in value.get("Routes", ())),
         teams=tuple(_decode_team(team) for team in value.get("Tenants", ())),
         limits=_decode_limits(value.get("Limits", {})),
         unguarded_services=frozenset(
-            service["Name"]
+            _decode_string(service["Name"])
             for service in value.get("Services", ())
             if not service.get("AdmissionControl", False)
         ),
@@ -76,32 +82,38 @@
 def _decode_team(team: dict[str, Any]) -> Team:
     limit = team.get("MaxValue") or {}
     return Team(
-        team["Name"],
-        frozenset(team.get("ApiKeys", ())),
-        int((team.get("Guaranteed") or {}).get("Gpu", 0)),
+        _decode_string(team["Name"]),
+        frozenset(_decode_string(key) for key in team.get("ApiKeys", ())),
+        _decode_amount((team.get("Guaranteed") or {}).get("Gpu", 0)),
         Resources(*(_decode_amount(limit.get(name)) for name in ("Cpu", "MemMb", "Gpu"))),
         _decode_amount(team.get("Weight"), float),
     )
 
 
-def _decode_amount(value: Any, kind: type = int) -> int | float:
-    """Decode a number that is not negative, 0 if it is missing."""
-    amount = kind(value or 0)
-    if not 0 <= amount < math.inf:
-        raise ValueError(f"{value!r} is not an amount")
+def _decode_string(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a string, got {type(value).__name__}")
+    return value
+
+
+def _decode_amount(value: Any, kind: type = int, default: float = 0) -> int | float:
+    """Decode a number that is not negative, ``default`` if it is missing or 0."""
+    amount = kind(value or default)
+    if not 0 <= amount <= MAX_AMOUNT:
+        raise ValueError(f"expected a number from 0 to {MAX_AMOUNT}")
     return amount
 
 
 def _decode_route(route: dict[str, Any]) -> Route:
     return Route(
-        host=route["Host"],
-        prefix=route["PathPrefix"],
-        service=route["Service"],
-        priority=int(route.get("Priority", 0)),
-        max_attempts=int(route.get("MaxAttempts") or DEFAULT_MAX_ATTEMPTS),
-        slack_factor=float(route.get("SlackFactor") or 1.0),
-        target_seconds=float(route.get("TargetLatencyMs") or 0) / 1000,
-        timeout_seconds=float(route.get("TimeoutMs") or DEFAULT_TIMEOUT_MS) / 1000,
+        host=_decode_string(route["Host"]),
+        prefix=_decode_string(route["PathPrefix"]),
+        service=_decode_string(route["Service"]),
+        priority=_decode_amount(route.get("Priority")),
+        max_attempts=_decode_amount(route.get("MaxAttempts"), int, DEFAULT_MAX_ATTEMPTS),
+        slack_factor=_decode_amount(route.get("SlackFactor"), float, 1.0),
+        target_seconds=_decode_amount(route.get("TargetLatencyMs"), float) / 1000,
+        timeout_seconds=_decode_amount(route.get("TimeoutMs"), float, DEFAULT_TIMEOUT_MS) / 1000,
         is_public=bool(route.get("Public", False)),
         needs_placement_advice=bool(route.get("Recommendation")),
     )
@@ -109,9 +121,11 @@
 
 def _decode_limits(limits: dict[str, Any]) -> HttpLimits:
     default = HttpLimits()
+    header_millis = default.header_timeout_seconds * 1000
+    idle_millis = default.idle_timeout_seconds * 1000
     return HttpLimits(
-        int(limits.get("MaxHeaderBytes") or default.max_header_bytes),
-        int(limits.get("MaxBodyBytes") or default.max_body_bytes),
-        float(limits.get("HeaderTimeoutMs") or default.header_timeout_seconds * 1000) / 1000,
-        float(limits.get("IdleTimeoutMs") or default.idle_timeout_seconds * 1000) / 1000,
+        _decode_amount(limits.get("MaxHeaderBytes"), int, default.max_header_bytes),
+        _decode_amount(limits.get("MaxBodyBytes"), int, default.max_body_bytes),
+        _decode_amount(limits.get("HeaderTimeoutMs"), float, header_millis) / 1000,
+        _decode_amount(limits.get("IdleTimeoutMs"), float, idle_millis) / 1000,
     )
--- a/src/jaypier/platform/tests/test_operators.py
+++ b/src/jaypier/platform/tests/test_operators.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from jaypier.jobs.model import Resources
@@ -14,6 +16,27 @@
 ]
 
 
+def nested(levels: int) -> list:
+    value: list = []
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+ROUTE = {"Host": "a", "PathPrefix": "/a/", "Service": "desk"}
+
+ODD_ROUTE_VALUES = [
+    {"Host": 7}, {"PathPrefix": ["/"]}, {"PathPrefix": None}, {"Service": {}},
+    *(
+        {name: value}
+        for name in ("Priority", "MaxAttempts", "SlackFactor", "TargetLatencyMs", "TimeoutMs")
+        for value in (math.inf, math.nan, int(400 * "9"), -1, 1e300, [1])
+    ),
+]  # fmt: skip
+
+LIMIT_NAMES = ["MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs"]
+
+
 class TestConfiguration:
     def test_configuration_is_decoded(self):
         configuration = decode_changes(Changes(ROWS, 6)).configuration
@@ -69,6 +92,22 @@
             {"Version": 1, "Tenants": [{"Name": "a", "Weight": -0.5}]},
             {"Version": 1, "Limits": "none"},
             {"Version": 1, "Services": [{"AdmissionControl": True}, {}]},
+            nested(900),
+            {"Version": nested(900)},
+            {"Version": math.inf},
+            {"Version": int(400 * "9")},
+            {"Version": 1, "Tenants": [{"Name": nested(900)}]},
+            {"Version": 1, "Tenants": [{"Name": ["a"]}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "ApiKeys": [nested(900)]}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "ApiKeys": [7]}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "Guaranteed": {"Gpu": int(400 * "9")}}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "MaxValue": {"Gpu": int(400 * "9")}}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "Weight": int(400 * "9")}]},
+            {"Version": 1, "Tenants": [{"Name": "a", "Weight": 1e300}]},
+            *({"Version": 1, "Routes": [ROUTE | odd]} for odd in ODD_ROUTE_VALUES),
+            *({"Version": 1, "Limits": {name: math.inf}} for name in LIMIT_NAMES),
+            *({"Version": 1, "Limits": {name: -1}} for name in LIMIT_NAMES),
+            {"Version": 1, "Services": [{"Name": ["a"]}]},
         ],
     )
     def test_unreadable_configuration_is_not_taken_for_a_confirmation(self, value):
