A notification with an odd version is rejected

What callers saw: nothing in operation; only daemons send notifications. A job whose notification claims a version of 400 digits would wait for the store to reach that version, and a deeply nested body was an internal error.

Before the change, 5 of the new cases of TestReceiving fail.

Change: a version is a whole number from 1 to 2^53, and any error of the decoder rejects the message (400).

--- a/src/jaypier/relay/notifier.py
+++ b/src/jaypier/relay/notifier.py
@@ -12,6 +12,7 @@
 
 from jaypier.core.codec import DecodeError, from_plain, to_plain
 from jaypier.platform import Row
+from jaypier.platform.decoding import describe_error
 from jaypier.relay.peers import PeerList
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
@@ -24,9 +25,24 @@
 MAX_PENDING_NOTIFICATIONS = 64
 """Notifications that may wait for a response at a time; further ones are dropped."""
 
+MAX_VERSION = 1 << 53
+"""Highest valid version of a row."""
+
 log = structlog.get_logger()
 
 
+def decode_notification(body: bytes) -> Row:
+    """Decode a notification.
+
+    :raises Exception: if it is not a row with a version of the store.
+    """
+    value = msgspec.json.decode(body)
+    row = from_plain(value, Row)
+    if type(value["version"]) is not int or not 0 < row.version <= MAX_VERSION:
+        raise DecodeError([f"expected a version from 1 to {MAX_VERSION}"])
+    return row
+
+
 class LeaderNotifier:
     """Sends stored rows to the daemon that leads; a failure has no consequence.
 
@@ -67,9 +83,10 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Deliver a row that a peer has sent."""
         try:
-            row = from_plain(msgspec.json.decode(request.body), Row)
-        except (msgspec.DecodeError, DecodeError) as error:
-            log.info("notification rejected", reason=str(error))
+            row = decode_notification(request.body)
+        except Exception as error:
+            # A message of another sender may fail in ways that are not foreseen here.
+            log.info("notification rejected", reason=describe_error(error))
             return HttpResponse(400)
         self.deliver(row)
         return HttpResponse(200)
--- a/src/jaypier/relay/tests/test_notifier.py
+++ b/src/jaypier/relay/tests/test_notifier.py
@@ -98,6 +98,14 @@
     def test_row_is_delivered(self):
         assert self.receive(msgspec.json.encode(to_plain(ROW))) == (200, [ROW])
 
-    @pytest.mark.parametrize("body", [b"", b"[", b"[]", b'{"key": "jobs/1"}', b"\xff"])
+    # Regression: a job of a notification with a version of 400 digits waited for that version.
+    @pytest.mark.parametrize("version", ["0", "-1", 400 * "9", 6000 * "9", "1e999", "true", '"x"'])
+    def test_notification_with_an_odd_version_is_rejected(self, version):
+        body = f'{{"key": "jobs/1", "value": {{}}, "version": {version}}}'
+        assert self.receive(body.encode()) == (400, [])
+
+    @pytest.mark.parametrize(
+        "body", [b"", b"[", b"[]", b'{"key": "jobs/1"}', b"\xff", 200_000 * b"["]
+    )
     def test_malformed_notification_is_rejected(self, body):
         assert self.receive(body) == (400, [])
