The command line goes on to the next daemon after a response that is no JSON object

What callers saw: operators, a traceback instead of the answer of the next daemon, or of the text of a refusal.

Before the change, 11 of the 16 cases of TestOddResponses fail (TypeError, AttributeError, RecursionError).

Change: a body that is no JSON object counts as no response; ages and versions that are no numbers are left out.

--- a/src/jaypier/cli/client.py
+++ b/src/jaypier/cli/client.py
@@ -53,16 +53,20 @@
     ) -> DaemonResponse:
         """Send a request to one daemon.
 
-        :raises TransportError: if there is no response within 10 s or its body is not JSON.
+        :raises TransportError: if there is no response within 10 s or its body is no JSON object.
         """
         headers = [(b"authorization", f"Bearer {self.token}".encode())]
         async with ConnectionPool(Address.parse(node)) as pool:
             request = HttpRequest(method, path, headers, body)
             response = await pool.exchange(request, CALL_TIMEOUT_SECONDS)
         try:
-            return DaemonResponse(response.status, msgspec.json.decode(response.body))
-        except msgspec.DecodeError as error:
+            body = msgspec.json.decode(response.body)
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             raise TransportError(f"{node} sent no JSON: {error}", sent=True) from error
+        if not isinstance(body, dict):
+            found = type(body).__name__
+            raise TransportError(f"{node} sent {found}, expected a JSON object", sent=True)
+        return DaemonResponse(response.status, body)
 
     async def call(self, method: str, path: str, body: bytes = b"") -> DaemonResponse:
         """Send a request to the daemons in order until one responds.
@@ -135,7 +139,8 @@
         deadline = time.monotonic() + timeout_seconds
         while time.monotonic() < deadline:
             states = await self.query_all("/v1/daemon")
-            versions = [each["version"] for each in states.values() if "version" in each]
+            found = [each.get("version") for each in states.values()]
+            versions = [each for each in found if type(each) is int]
             in_force_count = sum(each >= version for each in versions)
             on_progress(in_force_count, len(versions))
             if versions and in_force_count == len(versions):
@@ -161,4 +166,5 @@
 def describe_refusal(body: dict) -> str:
     """Return why a daemon refused, with the age of what it knows of the leader."""
     age = body.get("age_seconds")
-    return f"{body.get('error')}{'' if age is None else f' (known {age:.1f} s ago)'}"
+    is_known = isinstance(age, int | float)
+    return f"{body.get('error')}{f' (known {age:.1f} s ago)' if is_known else ''}"
--- a/src/jaypier/cli/tests/test_explain.py
+++ b/src/jaypier/cli/tests/test_explain.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 
 import pytest
@@ -10,7 +11,9 @@
 from jaypier.jobs.model import Resources
 from jaypier.jobs.state import new_job_state
 from jaypier.jobs.tests.builders import make_cluster_state, make_job, make_planner, make_step
+from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
+from jaypier.wire.messages import HttpResponse
 
 FOLLOWER = DaemonResponse(
     409, {"error": "this daemon does not lead; vm-c does", "leader": "vm-c", "age_seconds": 0.25}
@@ -96,3 +99,37 @@
         assert run([FOLLOWER], "explain", "x", "--request", "y")[0].exit_code == 2
         missing = str(tmp_path / "missing")
         assert run([FOLLOWER], "explain", "--request", missing)[0].exit_code == 2
+
+
+class TestOddResponses:
+    @pytest.mark.parametrize(
+        "body", [b"", b"{", b"7", b"[]", b"null", b"\xff", 200_000 * b"[", 6000 * b"9", b"1e999"]
+    )
+    def test_daemon_whose_response_is_no_object_counts_as_not_reached(self, monkeypatch, body):
+        # Regression: the tool ended with a traceback instead of asking the next daemon.
+        bodies = [body, b'{"version": 1}']
+
+        async def exchange(self, request, timeout):
+            return HttpResponse(200, [], bodies.pop(0))
+
+        monkeypatch.setattr(ConnectionPool, "exchange", exchange)
+        client = DaemonClient(["127.0.0.1:1", "127.0.0.1:2"], "t")
+        assert asyncio.run(client.call("GET", "/v1/daemon")).body == {"version": 1}
+
+    @pytest.mark.parametrize("age", ["old", [], {}])
+    def test_odd_age_of_the_leader_is_left_out(self, run, age):
+        odd = DaemonResponse(409, {"error": "this daemon does not lead", "age_seconds": age})
+        result, _ = run([odd], "explain", "00000000000000ab")
+        assert result.exit_code != 0 and "this daemon does not lead" in result.output
+
+    @pytest.mark.parametrize("version", ["x", None, [], True])
+    def test_odd_version_counts_as_no_response(self, run, version):
+        async def scenario() -> bool:
+            client = DaemonClient(["127.0.0.1:1", "127.0.0.1:2"], "t")
+            return await client.wait_in_force(3, 5.0, lambda reached, responding: None)
+
+        run(
+            [DaemonResponse(200, {"version": version}), DaemonResponse(200, {"version": 3})],
+            "--help",
+        )
+        assert asyncio.run(scenario())
