A response that is not the store's counts as none

What callers saw: nothing so far. A response of the store's address without rows, versions or a clock of the right types, or one that is nested 200,000 levels deep, would have ended the task that asked (a leadership, the watch of the configuration) with a KeyError, TypeError, OverflowError or RecursionError instead of a retry.

Change: rows have texts for their table and key and a whole version, other numbers are from 0 to 2^53; anything else raises PlatformUnavailable with an unknown effect, which callers of the store retry.

--- a/src/jaypier/platform/store.py
+++ b/src/jaypier/platform/store.py
@@ -37,6 +37,9 @@
 MAX_RESPONSE_BYTES = 8 << 20
 """Maximum size of a response; a page of the store has at most 1 MB of values, before base64."""
 
+MAX_NUMBER = 1 << 53
+"""Largest valid number of an answer."""
+
 PROBE_REQUEST = HttpRequest("GET", "/rows-get?Table=daemons&Limit=1")
 """An inexpensive request that tells whether the store responds."""
 
@@ -64,8 +67,7 @@
         """Return a row, or ``None`` if it does not exist."""
         table, name = split_key(key)
         body = await self.get("rows-get", self.timeout, Table=table, StartKey=name, Limit=1)
-        found = [_decode_row(row) for row in body["rows"] if row["Key"] == name]
-        return found[0] if found else None
+        return next((row for row in _decode_rows(body) if row.name == name), None)
 
     async def snapshot(self, table: str) -> Changes:
         """Return all rows of a table, read page by page, and the version from which to watch it.
@@ -77,12 +79,11 @@
         pages = []
         while True:
             body = await self.get("rows-get", self.timeout, Table=table, StartKey=start_key)
-            pages.append(body)
-            if not body.get("HasMore") or not body["rows"]:
+            pages.append(Changes(_decode_rows(body), _decode_version(body)))
+            if not body.get("HasMore") or not pages[-1].rows:
                 break
-            start_key = body["rows"][-1]["Key"] + "\0"
-        rows = [_decode_row(row) for page in pages for row in page["rows"]]
-        return Changes(rows, pages[0]["RowVersion"])
+            start_key = pages[-1].rows[-1].name + "\0"
+        return Changes([row for page in pages for row in page.rows], pages[0].version)
 
     async def watch(self, table: str, after: int, wait: float) -> Changes:
         """Return the rows of a table that changed after a version, waiting for a first change."""
@@ -93,7 +94,7 @@
             After=after,
             WaitMs=int(wait * 1000),
         )
-        return Changes([_decode_row(row) for row in body["rows"]], body["RowVersion"])
+        return Changes(_decode_rows(body), _decode_version(body))
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction atomically and return its version."""
@@ -112,9 +113,9 @@
         request = HttpRequest("POST", "/rows-tx", JSON_HEADERS, msgspec.json.encode(body))
         response = await self.call(request, self.timeout)
         if response.status == 412:
-            current = [_decode_row(row) for row in _decode_body(response).get("rows", ())]
+            current = _decode_rows({"rows": [], **_decode_body(response)})
             raise ConditionFailed(transaction.conditions[0].key, current)
-        return self.update_clock_offset(_decode_response(response))["RowVersion"]
+        return _decode_version(self.update_clock_offset(_decode_response(response)))
 
     def store_time(self) -> float:
         """Return the store's monotonic clock in seconds, estimated from its last response."""
@@ -123,7 +124,7 @@
     def update_clock_offset(self, body: dict[str, Any]) -> dict[str, Any]:
         """Update the offset to the store's clock from a decoded response; return the response."""
         if "NowMs" in body:
-            self.clock_offset = body["NowMs"] / 1000 - time.monotonic()
+            self.clock_offset = _decode_number(body, "NowMs") / 1000 - time.monotonic()
         return body
 
     async def get(self, path: str, timeout: float, **parameters: Any) -> dict[str, Any]:
@@ -171,6 +172,31 @@
     return base64.b64encode(msgspec.json.encode(value)).decode("ascii")
 
 
+def _decode_number(body: dict[str, Any], name: str) -> int:
+    number = body.get(name)
+    if type(number) not in (int, float) or not 0 <= number <= MAX_NUMBER:
+        raise PlatformUnavailable(f"store: {name} in its answer is not a number", True)
+    return number
+
+
+def _decode_version(body: dict[str, Any]) -> int:
+    return int(_decode_number(body, "RowVersion"))
+
+
+def _decode_rows(body: dict[str, Any]) -> list[Row]:
+    rows = body.get("rows")
+    if not isinstance(rows, list) or not all(_is_row(row) for row in rows):
+        raise PlatformUnavailable("store: rows in its answer are not rows", True)
+    return [_decode_row(row) for row in rows]
+
+
+def _is_row(row: Any) -> bool:
+    """Return whether a part of an answer names a version of a row; its value may be odd."""
+    is_named = isinstance(row, dict) and all(isinstance(row.get(x), str) for x in ("Table", "Key"))
+    version = row.get("RowVersion") if is_named else None
+    return type(version) is int and 0 < version <= MAX_NUMBER
+
+
 def _decode_row(row: dict[str, Any]) -> Row:
     value = None if row.get("Deleted") else _decode_value(row.get("Value"))
     return Row(f"{row['Table']}/{row['Key']}", value, row["RowVersion"])
@@ -188,7 +214,7 @@
 def _decode_body(response: HttpResponse) -> dict[str, Any]:
     try:
         body = msgspec.json.decode(response.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise PlatformUnavailable(f"store: unreadable answer: {error}", True) from error
     if not isinstance(body, dict):
         raise PlatformUnavailable("store: the answer is not an object", True)
--- a/src/jaypier/platform/tests/test_store.py
+++ b/src/jaypier/platform/tests/test_store.py
@@ -164,3 +164,51 @@
         rows = [Row("op/config", Unreadable("not JSON"), 3)]
         with pytest.raises(PlatformUnavailable, match="op/config"):
             decode_changes(Changes(rows, 3))
+
+
+class TestOddResponses:
+    """A response that is not the store's, for example of a proxy, counts as none."""
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"", b"7", b"[]", b"null", b"{}", b"\xff", 200_000 * b"[", 6000 * b"9",
+            b'{"rows": 7, "RowVersion": 9}',
+            b'{"rows": [7], "RowVersion": 9}',
+            b'{"rows": [{}], "RowVersion": 9}',
+            b'{"rows": [], "RowVersion": "x"}',
+            b'{"rows": [], "RowVersion": [1]}',
+            b'{"rows": [], "RowVersion": true}',
+            b'{"rows": [], "RowVersion": 9, "NowMs": "x"}',
+            b'{"rows": [], "RowVersion": 9, "NowMs": [1]}',
+            b'{"rows": [], "RowVersion": 9, "NowMs": ' + 400 * b"9" + b"}",
+            b'{"rows": [], "RowVersion": ' + 400 * b"9" + b"}",
+            b'{"rows": [{"Table": "servers", "Key": 7, "RowVersion": 3}], "RowVersion": 9}',
+            b'{"rows": [{"Table": "servers", "Key": "a", "RowVersion": "3"}], "RowVersion": 9}',
+            b'{"rows": [{"Table": "servers", "Key": "a"}], "RowVersion": 9}',
+        ],
+    )  # fmt: skip
+    def test_response_is_not_taken_for_rows(self, body):
+        # Regression: an unexpected error ended the task that had asked, such as a leadership.
+        async def scenario() -> None:
+            table = StoreTable(FixedTransport(200, body), 65536)
+            for call in (table.snapshot("servers"), table.watch("servers", 1, 0.0)):
+                with pytest.raises(PlatformUnavailable):
+                    await call
+            assert table.clock_offset == 0.0
+            if b"Key" in body or body in (b"", b"7", b"[]", b"null"):
+                with pytest.raises(PlatformUnavailable):
+                    await StoreTable(FixedTransport(412, body), 65536).commit(
+                        Transaction([Condition("servers/a", 5)])
+                    )
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"RowVersion": "x"}', 200_000 * b"["])
+    def test_outcome_of_a_write_is_unknown_after_an_odd_response(self, body):
+        async def scenario() -> None:
+            with pytest.raises(PlatformUnavailable) as caught:
+                await StoreTable(FixedTransport(200, body), 65536).commit(large_transaction())
+            assert caught.value.effect_unknown
+
+        asyncio.run(scenario())
