A stored job with numbers out of range is left out

What callers saw: nothing so far, as daemons check jobs at submission. A row of another writer with 10^30 or 1e300 tasks or 400-digit numbers would keep each leader busy, and fill its memory, before it did anything else (LOST).

Cause: the lenient decoder checks no ranges, and the state of a job is a list of all its tasks.

Recorded workers with odd fields aren't played in this test: the stand-in knows no such workers.

--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -13,9 +13,9 @@
 
 import attrs
 
-from jaypier.core.codec import encoded_size, from_plain, to_compact
+from jaypier.core.codec import DecodeError, encoded_size, from_plain, to_compact
 from jaypier.core.errors import JaypierError
-from jaypier.jobs.model import Job, TaskId, WorkerEntry
+from jaypier.jobs.model import Job, Step, TaskId, WorkerEntry
 from jaypier.jobs.progress import JobProgress, restore_job
 from jaypier.jobs.state import JobState
 from jaypier.platform import (
@@ -34,6 +34,12 @@
 RECORDED_WORKERS_TABLE = "workers"
 CANCEL_SUFFIX = "-cancel"
 
+MAX_STORED_TASKS = 100_000
+"""Largest number of tasks of a valid row, several times what a caller can submit: a row of another
+writer must not exhaust the memory of each leader."""
+
+MAX_STORED_NUMBER = 1 << 53
+"""Largest number in a valid row of a job."""
 
 REFUSAL_MARGIN_SECONDS = 0.5
 """Time after a refusal from which a new request with the same id counts as a later one: more than
@@ -141,7 +147,25 @@
 
     :raises DecodeError: when it is not a job.
     """
-    return from_plain(value, Job)
+    job = from_plain(value, Job)
+    if not 0 < len(job.steps) <= MAX_STORED_TASKS or not all(map(is_possible_step, job.steps)):
+        raise DecodeError(["expected a job with steps whose numbers are in range"])
+    if any(not 0 <= each < index for index, step in enumerate(job.steps) for each in step.after):
+        raise DecodeError(["expected steps that come after earlier ones"])
+    times = (abs(job.submitted_at), abs(job.first_start_at), job.interval_seconds)
+    factors = (job.slack_factor, job.target_seconds)
+    numbers = (job.priority, job.max_attempts, job.repeats, *times, *factors)
+    tasks = sum(step.count for step in job.steps)
+    if not all(0 <= each <= MAX_STORED_NUMBER for each in numbers) or tasks > MAX_STORED_TASKS:
+        raise DecodeError([f"expected numbers from 0 to {MAX_STORED_NUMBER} and fewer tasks"])
+    return job
+
+
+def is_possible_step(step: Step) -> bool:
+    """Whether the numbers of a stored step can be those of one; a comparison with NaN fails."""
+    amounts = (*attrs.astuple(step.demand), step.estimated_seconds, step.max_per_worker)
+    in_range = all(0 <= each <= MAX_STORED_NUMBER for each in amounts)
+    return in_range and 0 < step.count <= MAX_STORED_TASKS
 
 
 def decode_job_or_refusal(value: Any) -> Job | Refusal:
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -4,12 +4,15 @@
 
 import attrs
 import pytest
+import structlog
 
+from jaypier.core.codec import to_plain
 from jaypier.jobs.contained_planning import SET_ASIDE_SECONDS
 from jaypier.jobs.election import LEADER_KEY
 from jaypier.jobs.leader import REPORT_MAX_AGE_SECONDS, START_TIMEOUT_SECONDS
 from jaypier.jobs.learned import LEARNED_KEY
 from jaypier.jobs.model import JobStatus, Resources, StartRequest, StartResponse, TaskId
+from jaypier.jobs.progress import JobProgress, StepProgress
 from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
@@ -17,6 +20,27 @@
 from jaypier.platform import Put, Transaction
 from jaypier.scheduling.overload import OverloadSettings, decode_summary
 
+ODD_VALUES = [int(400 * "9"), 10**30, 1e300, math.inf, math.nan, -1, "x\ny", None, [[[7]]]]
+
+
+def paths_of(value, path: tuple = ()):
+    """Return the path of each value within plain JSON values."""
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    for key, each in items:
+        if key != "id":
+            yield (*path, key)
+        if isinstance(each, dict | list | tuple):
+            yield from paths_of(each, (*path, key))
+
+
+def replaced_at(value, path: tuple, odd):
+    """Return plain JSON values with another value at a path."""
+    if not path:
+        return odd
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = replaced_at(copy[path[0]], path[1:], odd)
+    return copy
+
 
 def count_runs(harness, job) -> int:
     return sum(task.job_id == job.id for task, _, _ in harness.cluster.runs)
@@ -304,6 +328,45 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize("odd", ODD_VALUES)
+    def test_odd_value_of_any_field_of_a_row_stops_no_other_job(self, odd):
+        # Regression (LOST): a job row with 10**30 tasks kept each leader busy for ever.
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            leader = harness.leaders[harness.leader_name]
+            puts = []
+
+            def put_variants(table: str, value: dict) -> None:
+                for path in list(paths_of(value)):
+                    name = f"odd{len(puts):013x}"
+                    changed = replaced_at(
+                        value | ({"id": name} if "id" in value else {}), path, odd
+                    )
+                    puts.append(Put(f"{table}/{name}", changed))
+
+            step = make_step(count=2, seconds=1.0, is_gang=True)
+            put_variants("jobs", to_plain(make_job(step)))
+            put_variants("jobs", to_plain(attrs.evolve(make_job(step), repeats=2)))
+            progress = JobProgress("q", "t", JobStatus.RUNNING, 3, [StepProgress(done="1")])
+            count = len(puts)
+            put_variants("progress", to_plain(progress))
+            ids = [put.key.partition("/")[2] for put in puts[count:]]
+            puts += [Put(job_key(job_id), to_plain(make_job(step, id=job_id))) for job_id in ids]
+            for start in range(0, len(puts), 50):
+                harness.store.apply_from_operator(Transaction(puts=puts[start : start + 50]))
+            first, second = make_job(), make_job()
+            harness.cluster.submit(first)
+            await harness.wait_status(first, JobStatus.COMPLETED, 30)
+            assert harness.leaders[harness.leader_name] is leader
+            await harness.kill(harness.leader_name)
+            harness.cluster.submit(second)
+            await harness.wait_status(second, JobStatus.COMPLETED, 60)
+            assert len(harness.leaders) == 1
+
+        # Tracebacks of hundreds of rows take long to render.
+        with structlog.testing.capture_logs():
+            run_scenario(scenario)
+
     @pytest.mark.parametrize(
         "value",
         [
