--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -33,6 +33,7 @@
 from jaypier.operators.credentials import Credentials
 from jaypier.platform import PlatformUnavailable, Row
 from jaypier.platform.callers import BadRequest
+from jaypier.platform.decoding import LeftOutRows
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.platform.store import MAX_RESPONSE_BYTES, StoreTable
 from jaypier.platform.workers import HttpWorkerLink, StoreWorkerDirectory
@@ -70,6 +71,7 @@
     :param settings: settings of this VM.
     :ivar incarnation: unique id of this process: VM name and start time.
     :ivar stop_requested: set to start a graceful shutdown.
+    :ivar left_out: rows of other daemons, workers and the leader that cannot be decoded.
     :ivar election: the current election, which knows who leads; ``None`` before the first one.
     :ivar leader: the running leader, ``None`` unless this daemon leads.
     """
@@ -84,16 +86,17 @@
         self.is_stopping = False
         self.leader: Leader | None = None
         store = ConnectionPool(settings.store_address, max_body_bytes=MAX_RESPONSE_BYTES)
-        peers = PeerList(settings.name, self.clock, self.rng)
+        self.left_out = LeftOutRows(self.metrics)
+        peers = PeerList(settings.name, self.clock, self.rng, self.left_out)
         self.transport = FailoverTransport(store, peers, self.rng)
         self.table = StoreTable(self.transport, settings.max_row_bytes)
         self.election: Election | None = None
         self.notifier = LeaderNotifier(peers, self.find_leader, self.deliver_row)
-        self.directory = StoreWorkerDirectory(self.table)
+        self.directory = StoreWorkerDirectory(self.table, self.left_out)
         self.operator_api: OperatorApi | None = None
         source: OperatorSource = StoreOperatorSource(self.table)
         if settings.operators is not None:
-            cache = EntityCache()
+            cache = EntityCache(self.left_out)
             source = NoteOperatorSource(self.table, cache)
             notes = NoteService(self.table, self.directory, cache, self.metrics, self.rng)
             credentials = Credentials(settings.operators.tokens)
@@ -272,7 +275,14 @@
         """
         takeover_delay = MAX_TAKEOVER_DELAY_SECONDS / (1.0 + self.settings.processor_share)
         while True:
-            election = Election(self.table, self.incarnation, takeover_delay, self.clock, self.rng)
+            election = Election(
+                self.table,
+                self.incarnation,
+                takeover_delay,
+                self.clock,
+                self.rng,
+                self.left_out,
+            )
             self.election = election
             _, version = await election.campaign()
             writer = FencedWriter(self.table, election.record, version, self.clock)
--- a/src/jaypier/jobs/rows.py
+++ b/src/jaypier/jobs/rows.py
@@ -13,9 +13,9 @@
 
 import attrs
 
-from jaypier.core.codec import decode_valid, encoded_size, from_plain, to_compact
+from jaypier.core.codec import DecodeError, encoded_size, from_plain, to_compact
 from jaypier.core.errors import JaypierError
-from jaypier.jobs.model import Job, TaskId, WorkerEntry
+from jaypier.jobs.model import Job, Step, TaskId, WorkerEntry
 from jaypier.jobs.progress import JobProgress, restore_job
 from jaypier.jobs.state import JobState
 from jaypier.platform import (
@@ -26,6 +26,7 @@
     Transaction,
     WatchableTable,
 )
+from jaypier.platform.decoding import LeftOutRows, decode_valid
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
@@ -33,6 +34,12 @@
 RECORDED_WORKERS_TABLE = "workers"
 CANCEL_SUFFIX = "-cancel"
 
+MAX_STORED_TASKS = 100_000
+"""Largest number of tasks of a valid row, several times what a caller can submit: a row of another
+writer must not exhaust the memory of each leader."""
+
+MAX_STORED_NUMBER = 1 << 53
+"""Largest number in a valid row of a job."""
 
 REFUSAL_MARGIN_SECONDS = 0.5
 """Time after a refusal from which a new request with the same id counts as a later one: more than
@@ -115,21 +122,23 @@
     versions: dict[str, int] = attrs.field(factory=dict)
 
 
-def decode_job_rows(rows: list[Row], version: int) -> JobChanges:
+def decode_job_rows(
+    rows: list[Row], version: int, left_out: LeftOutRows | None = None
+) -> JobChanges:
     """Decode rows of the jobs table into jobs and cancellations; skip rows without a valid value.
 
     :param version: version of the store up to which the rows are complete.
+    :param left_out: observes the rows that cannot be decoded.
     """
-    present = [row for row in rows if row.value is not None]
-    cancelled = [
-        row.name.removesuffix(CANCEL_SUFFIX) for row in present if row.name.endswith(CANCEL_SUFFIX)
-    ]
-    versions = {row.name: row.version for row in present}
-    others = [(row.key, row.value) for row in present if not row.name.endswith(CANCEL_SUFFIX)]
-    decoded = list(decode_valid(others, decode_job_or_refusal))
-    accepted = [job for key, job in decoded if isinstance(job, Job) and key == job_key(job.id)]
-    names = [key.partition("/")[2] for key, each in decoded if isinstance(each, Refusal)]
-    refusals = {name: versions[name] for name in names}
+    left_out = left_out or LeftOutRows()
+    cancellations = [row for row in rows if row.name.endswith(CANCEL_SUFFIX)]
+    valid = decode_valid(cancellations, lambda value: value, left_out)
+    cancelled = [row.name.removesuffix(CANCEL_SUFFIX) for row, _ in valid]
+    others = [row for row in rows if not row.name.endswith(CANCEL_SUFFIX)]
+    decoded = list(decode_valid(others, decode_job_or_refusal, left_out))
+    versions = {row.name: row.version for row, _ in decoded}
+    accepted = [job for row, job in decoded if isinstance(job, Job) and row.key == job_key(job.id)]
+    refusals = {row.name: row.version for row, each in decoded if isinstance(each, Refusal)}
     return JobChanges(accepted, cancelled, version, refusals, versions)
 
 
@@ -138,7 +147,25 @@
 
     :raises DecodeError: when it is not a job.
     """
-    return from_plain(value, Job)
+    job = from_plain(value, Job)
+    if not 0 < len(job.steps) <= MAX_STORED_TASKS or not all(map(is_possible_step, job.steps)):
+        raise DecodeError(["expected a job with steps whose numbers are in range"])
+    if any(not 0 <= each < index for index, step in enumerate(job.steps) for each in step.after):
+        raise DecodeError(["expected steps that come after earlier ones"])
+    times = (abs(job.submitted_at), abs(job.first_start_at), job.interval_seconds)
+    factors = (job.slack_factor, job.target_seconds)
+    numbers = (job.priority, job.max_attempts, job.repeats, *times, *factors)
+    tasks = sum(step.count for step in job.steps)
+    if not all(0 <= each <= MAX_STORED_NUMBER for each in numbers) or tasks > MAX_STORED_TASKS:
+        raise DecodeError([f"expected numbers from 0 to {MAX_STORED_NUMBER} and fewer tasks"])
+    return job
+
+
+def is_possible_step(step: Step) -> bool:
+    """Whether the numbers of a stored step can be those of one; a comparison with NaN fails."""
+    amounts = (*attrs.astuple(step.demand), step.estimated_seconds, step.max_per_worker)
+    in_range = all(0 <= each <= MAX_STORED_NUMBER for each in amounts)
+    return in_range and 0 < step.count <= MAX_STORED_TASKS
 
 
 def decode_job_or_refusal(value: Any) -> Job | Refusal:
@@ -190,10 +217,14 @@
     return WorkerRecord(entry, None if tasks is None else frozenset(map(TaskId.parse, tasks)))
 
 
-def restore_jobs(jobs: Iterable[Job], progress_rows: Iterable[Row]) -> Iterator[JobState]:
+def restore_jobs(
+    jobs: Iterable[Job], progress_rows: Iterable[Row], left_out: LeftOutRows
+) -> Iterator[JobState]:
     """Return the state of each job by its recorded progress.
 
-    A job whose progress cannot be decoded is logged and left out.
+    A job whose progress cannot be decoded is left out.
+
+    :param left_out: observes the rows that cannot be decoded.
     """
     rows = {row.name: row for row in progress_rows}
     for job in jobs:
@@ -202,7 +233,7 @@
             yield restore_job(job, None)
             continue
         restored = decode_valid(
-            [(row.key, row.value)], lambda value, job=job: restore_job(job, decode_progress(value))
+            [row], lambda value, job=job: restore_job(job, decode_progress(value)), left_out
         )
         yield from (state for _, state in restored)
 
@@ -325,6 +356,7 @@
     async def find(self, job_id: str) -> Job | None:
         """Return an accepted job, or ``None`` when it is not stored.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(job_key(job_id))
@@ -335,6 +367,7 @@
     async def progress(self, job_id: str) -> JobProgress | None:
         """Return the recorded progress of a job, or ``None`` when none is recorded.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(progress_key(job_id))
@@ -352,7 +385,8 @@
     async def pending(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue, as last written by the leader.
 
+        :raises DecodeError: when the row cannot be decoded.
         :raises PlatformUnavailable: when the store does not answer.
         """
         row = await self.table.read(PENDING_KEY)
-        return dict(row.value) if row is not None and row.value else {}
+        return {} if row is None else from_plain(row.value, dict[str, int])
--- a/src/jaypier/notes/service.py
+++ b/src/jaypier/notes/service.py
@@ -9,12 +9,19 @@
 import attrs
 import structlog
 
-from jaypier.core.codec import to_compact, to_plain
+from jaypier.core.codec import DecodeError, to_compact, to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.jobs.model import WorkerEntry
 from jaypier.jobs.rows import JobTable, cancel_key, job_key
 from jaypier.jobs.worker_interface import WorkerDirectory
-from jaypier.notes.cache import HEAD_KEY, EntityCache, EntityRow, accepted_key, entity_row_key
+from jaypier.notes.cache import (
+    HEAD_KEY,
+    EntityCache,
+    EntityRow,
+    accepted_key,
+    decode_version,
+    entity_row_key,
+)
 from jaypier.notes.guarantees import find_shortfall
 from jaypier.notes.model import ENTITY_KINDS, ReleaseNote, written_entities
 from jaypier.notes.translation import build_job
@@ -24,9 +31,11 @@
     ConditionFailed,
     PlatformUnavailable,
     Put,
+    Row,
     Transaction,
     WatchableTable,
 )
+from jaypier.platform.decoding import decode_valid
 
 MAX_TRANSACTION_ROWS = 100
 """Maximum number of rows in one transaction of the store, its conditions included."""
@@ -142,7 +151,7 @@
         """
         accepted = await self.table.read(accepted_key(note.id))
         if accepted is not None:
-            return NoteResult(note.id, NoteStatus.ACCEPTED, accepted.value["version"])
+            return self.accepted_result(note.id, accepted)
         # Built before any other read, so that a note committed in between fails the condition.
         condition, version = (
             Condition(HEAD_KEY, self.cache.head_row_version),
@@ -234,11 +243,24 @@
         return frozenset(name for name, ended in zip(names, has_ended, strict=True) if ended)
 
     async def has_ended(self, job_id: str) -> bool:
-        """Return whether a job has a final status, or had one and its rows have been deleted."""
-        progress = await self.jobs.progress(job_id)
-        if progress is not None:
-            return progress.status.is_final
-        return await self.jobs.find(job_id) is None
+        """Return whether a job has a final status, or had one and its rows have been deleted.
+
+        A job whose progress cannot be decoded counts as one that has not ended.
+        """
+        try:
+            progress = await self.jobs.progress(job_id)
+        except DecodeError:
+            return False
+        return (
+            progress.status.is_final if progress is not None else not await self.is_stored(job_id)
+        )
+
+    async def is_stored(self, job_id: str) -> bool:
+        """Return whether a job is stored, also if its row cannot be decoded."""
+        try:
+            return await self.jobs.find(job_id) is not None
+        except DecodeError:
+            return True
 
     async def expired_job_rows(self, note: ReleaseNote, max_rows: int) -> list[str]:
         """Return keys of entity rows whose jobs are no longer stored.
@@ -252,9 +274,12 @@
         sample_size = min(max_rows, len(names), 2 * len(named) + CLEANUP_MARGIN)
         sample = self.rng.sample(names, max(0, sample_size))
         ids = [self.cache.jobs[name].id for name in sample]
-        found = await asyncio.gather(*(self.jobs.find(job_id) for job_id in ids))
-        stored_jobs = dict(zip(sample, found, strict=True))
-        return [entity_row_key("jobs", name) for name in sample if stored_jobs[name] is None]
+        are_stored = await asyncio.gather(*(self.is_stored(job_id) for job_id in ids))
+        return [
+            entity_row_key("jobs", name)
+            for name, is_stored in zip(sample, are_stored, strict=True)
+            if not is_stored
+        ]
 
     async def catch_up(self, error: ConditionFailed) -> None:
         """Wait until the cache contains the note that was committed first."""
@@ -275,7 +300,13 @@
         if row is None:
             reason = "not accepted so far; resend it unchanged to be certain"
             return NoteResult(note_id, NoteStatus.UNKNOWN, reasons=[reason])
-        return NoteResult(note_id, NoteStatus.ACCEPTED, row.value["version"])
+        return self.accepted_result(note_id, row)
+
+    def accepted_result(self, note_id: str, row: Row) -> NoteResult:
+        """Return the outcome of a note by its row ``accepted/ID``; version 0 if that is odd."""
+        decoded = decode_valid([row], decode_version, self.cache.left_out)
+        version = next((version for _, version in decoded), 0)
+        return NoteResult(note_id, NoteStatus.ACCEPTED, version)
 
 
 def named_jobs(note: ReleaseNote) -> set[str]:
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from jaypier.core.address import Address
-from jaypier.core.codec import decode_valid
 from jaypier.jobs.model import (
     DEFAULT_DRAIN_SECONDS,
     ActiveRun,
@@ -25,6 +24,7 @@
     WorkerUnreachable,
 )
 from jaypier.platform.abstract import TableSource, WatchableTable
+from jaypier.platform.decoding import LeftOutRows, decode_valid, describe_error
 from jaypier.platform.model import Changes, Row
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
@@ -44,6 +44,12 @@
 MAX_INTEGER = 1 << 53
 """Largest magnitude of a number in an entry: up to it, JSON numbers are exact in all languages."""
 
+MAX_NAME_CHARACTERS = 200
+"""Longest name in an entry: as long as a key of the store, such as the id of a worker."""
+
+MAX_LABELS = 100
+"""Largest number of labels of a worker, which has two: its kind and its rack."""
+
 RUN_OUTCOMES = {
     "done": RunOutcome.DONE,
     "failed": RunOutcome.FAILED,
@@ -65,22 +71,22 @@
     """The workers that are registered in the store.
 
     :param table: the platform's store.
+    :param left_out: observes the entries that cannot be decoded.
     """
 
-    def __init__(self, table: WatchableTable) -> None:
-        super().__init__(table, WORKERS_TABLE, decode_listing)
+    def __init__(self, table: WatchableTable, left_out: LeftOutRows) -> None:
+        super().__init__(table, WORKERS_TABLE, lambda changes: decode_listing(changes, left_out))
 
 
-def decode_listing(changes: Changes) -> WorkerListing:
+def decode_listing(changes: Changes, left_out: LeftOutRows) -> WorkerListing:
     """Decode rows of workers; one that does not describe a usable worker hides no other."""
-    entries = {row.name: decode_worker(row) for row in changes.rows}
+    entries = {row.name: decode_worker(row, left_out) for row in changes.rows}
     return WorkerListing(entries, changes.version)
 
 
-def decode_worker(row: Row) -> WorkerEntry | None:
+def decode_worker(row: Row, left_out: LeftOutRows) -> WorkerEntry | None:
     """Decode a worker's entry; return ``None`` if it does not describe a usable worker."""
-    rows = [(row.key, row.value)]
-    decoded = decode_valid(rows, lambda entry: _decode_entry(row.name, entry))
+    decoded = decode_valid([row], lambda entry: _decode_entry(row.name, entry), left_out)
     return next((entry for _, entry in decoded), None)
 
 
@@ -88,15 +94,17 @@
     capacity, labels = entry["Capacity"], entry["Labels"]
     state = entry["State"]
     if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
+        raise ValueError(f"expected the state ready or draining, got {state!r}")
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise ValueError(f"expected a list of at most {MAX_LABELS} labels")
     remaining_millis = entry.get("RemainingMs", DEFAULT_DRAIN_SECONDS * 1000)
     return WorkerEntry(
-        id=worker_id,
-        service=_decode_string(entry["Service"]),
+        id=_decode_name(worker_id),
+        service=_decode_name(entry["Service"]),
         address=Address.parse(_decode_string(entry["Address"])),
-        data_centre=_decode_string(entry["Zone"]),
-        rack=_decode_string(labels[1]) if len(labels) > 1 else "",
-        labels=frozenset(_decode_string(label) for label in labels),
+        data_centre=_decode_name(entry["Zone"]),
+        rack=_decode_name(labels[1]) if len(labels) > 1 else "",
+        labels=frozenset(_decode_name(label) for label in labels),
         capacity=Resources(
             _decode_integer(capacity["Cpu"], minimum=0),
             _decode_integer(capacity["MemMb"], minimum=0),
@@ -106,7 +114,7 @@
         born=_decode_integer(entry.get("born", 0)),
         clock=_decode_integer(entry.get("ClockMs", 0)),
         remaining_seconds=_decode_integer(remaining_millis) / 1000,
-        machine=_decode_string(entry.get("Machine", "")),
+        machine=_decode_name(entry.get("Machine", "")),
     )
 
 
@@ -118,13 +126,27 @@
     return value
 
 
-def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
+def _decode_name(value: Any) -> str:
+    """Decode a name; one with line breaks, or too long to be stored again, is no name."""
+    name = _decode_string(value)
+    if len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+        raise ValueError(
+            f"expected a printable name of at most {MAX_NAME_CHARACTERS} characters, got {name!r}"
+        )
+    return name
+
+
+def _decode_number(value: Any, minimum: int = -MAX_INTEGER) -> int | float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
     # NaN fails every comparison.
     if not minimum <= value <= MAX_INTEGER:
         raise ValueError(f"expected a number from {minimum} to {MAX_INTEGER}, got {value!r}")
-    return int(value)
+    return value
+
+
+def _decode_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
+    return int(_decode_number(value, minimum))
 
 
 class HttpWorkerLink(WorkerLink):
@@ -164,8 +186,10 @@
         _raise_for_status(response, response_body)
         try:
             return _decode_report(response_body)
-        except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            raise WorkerUnreachable(f"worker sent a malformed report: {error!r}") from error
+        except Exception as error:
+            # A report may fail in ways that the decoder does not foresee.
+            reason = describe_error(error)
+            raise WorkerUnreachable(f"worker sent a malformed report: {reason}") from error
 
     async def start(self, epoch: int, start_request: StartRequest) -> StartResponse:
         """Start a task; the request is idempotent.
@@ -189,7 +213,8 @@
             return StartResponse.UNHEALTHY
         if response.status == 409:
             reason = _decode_body(response).get("Reason")
-            return START_REFUSALS.get(reason, StartResponse.REFUSED)
+            is_known = isinstance(reason, str) and reason in START_REFUSALS
+            return START_REFUSALS[reason] if is_known else StartResponse.REFUSED
         if 400 <= response.status < 500:
             return StartResponse.REFUSED
         raise WorkerUnreachable(f"status {response.status}")
@@ -221,7 +246,8 @@
     try:
         body = json.loads(response.body) if response.body else {}
     except (ValueError, RecursionError) as error:
-        raise WorkerUnreachable(f"worker sent a response that is not JSON: {error}") from error
+        reason = describe_error(error)
+        raise WorkerUnreachable(f"worker sent a response that is not JSON: {reason}") from error
     return body if isinstance(body, dict) else {}
 
 
@@ -237,17 +263,23 @@
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     active = tuple(
-        ActiveRun(TaskId.parse(row[0]), int(row[1]), _decode_string(row[2] or ""), float(row[3]))
+        ActiveRun(
+            TaskId.parse(row[0]),
+            _decode_integer(row[1], minimum=0),
+            _decode_string(row[2] or ""),
+            float(_decode_number(row[3])),
+        )
         for row in body["Active"]
     )
     ended = tuple(
         EndedRun(
-            int(row[0]),
+            _decode_integer(row[0], minimum=0),
             TaskId.parse(row[1]),
-            int(row[2]),
+            _decode_integer(row[2], minimum=0),
             RUN_OUTCOMES[row[3]],
             _decode_string(row[4] or ""),
         )
         for row in body["Finished"]
     )
-    return WorkerReport(int(body.get("born", 0)), int(body["ClockMs"]), active, ended)
+    born, clock = _decode_integer(body.get("born", 0)), _decode_integer(body["ClockMs"])
+    return WorkerReport(born, clock, active, ended)
