--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -1,10 +1,10 @@
 """Tests of takeovers among daemons as processes, beside store outages and partial cuts."""
 
 import asyncio
-import contextlib
 import itertools
 import signal
-from collections.abc import AsyncIterator, Callable, Iterable
+import time
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import attrs
@@ -12,7 +12,8 @@
 import pytest
 
 from jaypier.jobs.session import LONG_POLL_SECONDS
-from standins.deployment import ConfigurationSource, Deployment, send_request
+from standins.deployment import ConfigurationSource, Deployment
+from standins.ports import HOST
 
 JOB = "00000000000000c1"
 TASKS = 4
@@ -30,9 +31,30 @@
 
 LONG_CUT_SECONDS = 33.0
 
-PAUSE_SECONDS = 4.5
+SHORT_PAUSE_SECONDS = 4.5
 """Longer than a takeover takes, and shorter than a lease."""
 
+LONG_PAUSE_SECONDS = 8.0
+"""Longer than a lease."""
+
+
+REQUESTS = 300
+REQUESTS_RUN_TICKS = 3
+"""A part of the processor time that a daemon takes for ``REQUESTS`` dumps of its state."""
+
+
+def read_run_ticks(process: int) -> int:
+    """Return the processor time that a process has taken, in ticks of usually 10 ms."""
+    fields = Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+def wait_for_run_ticks(process: int, ticks: int) -> None:
+    """Wait until a process has taken processor time, at most 0.3 s, without other work."""
+    deadline = time.monotonic() + 0.3
+    while read_run_ticks(process) < ticks and time.monotonic() < deadline:
+        time.sleep(0.001)
+
 
 @attrs.define
 class Play:
@@ -82,6 +104,14 @@
             await asyncio.sleep(0.05)
         return is_done()
 
+    async def require(self, is_done: Callable[[], bool], seconds: float, text: str) -> None:
+        """Wait until a condition holds; it has to within ``seconds``."""
+        assert await self.wait_until(is_done, seconds), f"not {text}: {self.notes}"
+        self.note(text)
+
+    async def require_takeover(self) -> None:
+        await self.require(lambda: self.read_leader()[0] != self.old_leader, 15, "taken over")
+
     async def submit(self) -> None:
         """Submit the job and wait until all of its tasks are running."""
         step = {"Count": TASKS, "Cpu": 1000, "MemMb": 1000, "Gpu": 8}
@@ -89,7 +119,7 @@
         body = msgspec.json.encode({"Spec": "work", "Phases": [step]})
         response = await self.deployment.call_any("POST", f"/common/{JOB}", body)
         assert response.status == 200, response
-        assert await self.wait_until(lambda: len(self.active_on(self.workers)) == TASKS, 10)
+        await self.require(lambda: len(self.active_on(self.workers)) == TASKS, 15, "running")
         self.old_leader, _ = self.read_leader()
         self.busy = self.active_on(self.workers)
         self.note(f"entry-{self.old_leader} has started tasks on {sorted(self.busy)}")
@@ -120,16 +150,19 @@
         loop = asyncio.get_running_loop()
         loop.call_later(seconds, self.deployment.send_signal, number, signal.SIGCONT)
 
-    @contextlib.asynccontextmanager
-    async def load(self, number: int) -> AsyncIterator[None]:
-        """Keep a daemon busy with requests, so that a pause does not find it waiting for events."""
-        port = self.deployment.ports[number].metrics
-        calls = [asyncio.create_task(send_request(port, "GET", "/dump")) for _ in range(200)]
-        await asyncio.sleep(0.1)
-        yield
-        for call in calls:
-            call.cancel()
-        await asyncio.gather(*calls, return_exceptions=True)
+    async def pause_while_busy(self, number: int, seconds: float) -> None:
+        """Pause a process that handles events; one that waits for them handles timers first."""
+        port, process = self.deployment.ports[number].metrics, self.deployment.processes[number].pid
+        streams = [await asyncio.open_connection(HOST, port) for _ in range(REQUESTS)]
+        await asyncio.sleep(0.3)
+        ticks = read_run_ticks(process) + REQUESTS_RUN_TICKS
+        for _, writer in streams:
+            writer.write(b"GET /dump HTTP/1.1\r\nhost: vm\r\n\r\n")
+        # Nothing else runs in this process meanwhile, so that nothing delays the signal.
+        wait_for_run_ticks(process, ticks)
+        self.pause(number, seconds)
+        for _, writer in streams:
+            writer.transport.abort()
 
     async def begin_outage(self, seconds: float) -> None:
         """Take the store away and return before it is back."""
@@ -144,17 +177,16 @@
         asyncio.get_running_loop().call_later(REGISTRATION_SECONDS, self.register, back)
 
     async def watch_takeover(self, silent: set[str], seconds: float) -> None:
-        """Wait for a takeover, then for a second run, at most ``seconds``.
+        """Wait for a takeover, then for a violation, at most ``seconds``.
 
         :param silent: workers that the new leader does not reach; their runs must be active.
         """
-        assert await self.wait_until(lambda: self.read_leader()[0] != self.old_leader, 10)
+        await self.require_takeover()
         leader, _ = self.read_leader()
-        self.note(f"takeover by entry-{leader}")
-        assert self.active_on(silent) == silent & self.busy
-        runs = self.deployment.cluster.runs
-        await self.wait_until(lambda: len(runs) > TASKS, seconds)
-        self.note(f"runs: {[(str(run.task), run.worker, run.outcome) for run in runs.values()]}")
+        assert self.active_on(silent) == silent & self.busy, self.notes
+        cluster = self.deployment.cluster
+        await self.wait_until(lambda: bool(cluster.violations), seconds)
+        self.note(f"runs: {[(str(run.task), run.worker) for run in cluster.runs.values()]}")
         events = map(msgspec.json.decode, self.deployment.read_log(leader).splitlines())
         assert silent <= {
             each["worker"] for each in events if each["event"] == "worker unreachable"
@@ -179,9 +211,11 @@
     await play.begin_outage(LONG_OUTAGE_SECONDS)
     silent = play.busy_data_centre()
     play.cut(play.others, silent)
-    play.pause(play.old_leader, 0.6)
+    play.deployment.send_signal(play.old_leader, signal.SIGSTOP)
     play.unregister(play.workers)
     play.end_outage(back=play.workers - silent)
+    await play.require_takeover()
+    play.deployment.send_signal(play.old_leader, signal.SIGCONT)
     await play.watch_takeover(silent, LEASES_END_SECONDS)
 
 
@@ -207,13 +241,12 @@
     await play.watch_takeover(play.busy, LONG_CUT_SECONDS)
 
 
-async def pause_leader_beside_cut(play: Play) -> None:
+async def pause_leader_beside_cut(play: Play, seconds: float = SHORT_PAUSE_SECONDS) -> None:
     """The old leader is paused, and reaches only one worker when it continues."""
     await play.submit()
     silent = {min(play.busy)}
     play.cut(play.others, silent)
-    async with play.load(play.old_leader):
-        play.pause(play.old_leader, PAUSE_SECONDS)
+    await play.pause_while_busy(play.old_leader, seconds)
     # The answers to requests sent before the pause arrive in the meantime.
     await asyncio.sleep(LONG_POLL_SECONDS + 0.5)
     play.cut({play.old_leader}, play.workers - silent)
@@ -221,20 +254,24 @@
     await play.watch_takeover(silent, LEASES_END_SECONDS)
 
 
-RACKS_OF_SCENARIOS = {
+async def pause_leader_for_longer_than_lease(play: Play) -> None:
+    """The same, with runs that have ended when the old leader continues."""
+    await pause_leader_beside_cut(play, LONG_PAUSE_SECONDS)
+
+
+OUTAGES_AND_CUTS = {
     refuse_leader_after_outage: 4,
     pause_leader_in_outage: 4,
     lose_worker_before_outage: 4,
     split_workers: 3,
-    pause_leader_beside_cut: 3,
 }
+PAUSES = {pause_leader_beside_cut: 3, pause_leader_for_longer_than_lease: 3}
+"""Number of racks, each with two workers, by scenario."""
 
 
-async def run_scenario(scenario, folder: Path) -> list[str]:
+async def run_scenario(scenario, racks: int, folder: Path) -> list[str]:
     """Play a scenario and return the invariants that were violated."""
-    deployment = Deployment(
-        folder, ConfigurationSource.PLATFORM, racks=RACKS_OF_SCENARIOS[scenario]
-    )
+    deployment = Deployment(folder, ConfigurationSource.PLATFORM, racks=racks)
     deployment.wall_clock_leads[0] = WALL_CLOCK_LEAD_SECONDS
     async with deployment:
         play = Play(deployment)
@@ -243,18 +280,27 @@
     return [*violations, *play.notes] if violations else []
 
 
-@pytest.fixture(scope="module")
-def outcomes(tmp_path_factory) -> dict:
-    """Play all scenarios side by side, as each consists of waiting; return the outcome of each."""
+def run_scenarios(scenarios: dict, factory: pytest.TempPathFactory) -> dict:
+    """Play scenarios side by side, as each consists of waiting; return the outcome of each."""
 
     async def run() -> list:
         plays = (
-            run_scenario(scenario, tmp_path_factory.mktemp(scenario.__name__))
-            for scenario in RACKS_OF_SCENARIOS
+            run_scenario(scenario, racks, factory.mktemp(scenario.__name__))
+            for scenario, racks in scenarios.items()
         )
         return await asyncio.gather(*plays, return_exceptions=True)
 
-    return dict(zip(RACKS_OF_SCENARIOS, asyncio.run(run()), strict=True))
+    return dict(zip(scenarios, asyncio.run(run()), strict=True))
+
+
+@pytest.fixture(scope="module")
+def outcomes(tmp_path_factory) -> dict:
+    return run_scenarios(OUTAGES_AND_CUTS, tmp_path_factory)
+
+
+@pytest.fixture(scope="module")
+def pause_outcomes(tmp_path_factory) -> dict:
+    return run_scenarios(PAUSES, tmp_path_factory)
 
 
 class TestTakeoverAfterLongStoreOutage:
@@ -276,5 +322,8 @@
 
 
 class TestTakeoverFromPausedLeader:
-    def test_reports_from_before_pause_do_not_lead_to_second_run(self, outcomes):
-        assert outcomes[pause_leader_beside_cut] == []
+    def test_leases_are_not_renewed_on_reports_from_before_pause(self, pause_outcomes):
+        assert pause_outcomes[pause_leader_beside_cut] == []
+
+    def test_runs_are_not_started_on_reports_from_before_pause(self, pause_outcomes):
+        assert pause_outcomes[pause_leader_for_longer_than_lease] == []
