--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -290,6 +290,11 @@
         for row, record in decode_valid(changes.rows, decode_worker_record, self.left_out):
             with self.contain_row(row.key):
                 self.restore_recorded_worker(record, now, changes.version)
+        recorded_ids = {row.name for row in changes.rows}
+        for worker in self.cluster_state.workers.values():
+            if worker.id not in recorded_ids:
+                # A row is written before the first start, so no leader has used this worker.
+                worker.recorded_tasks = frozenset()
 
     def restore_recorded_worker(self, record: WorkerRecord, now: float, version: int) -> None:
         """Add a worker that earlier leaders used, and the tasks that may have runs on it.
@@ -737,10 +742,11 @@
                 worker.last_report_at + self.longest_run_seconds, worker.lease_expires_at
             )
             ends_at = max(timeout_at, lease_ends_at)
+            is_unused = self.has_reconciled or worker.recorded_tasks == frozenset()
             is_new = (
                 worker.last_report_at == -math.inf
                 and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
-                and self.has_reconciled
+                and is_unused
             )
             if not is_new and confirmed_at <= ends_at:
                 if now > ends_at:
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -752,6 +752,21 @@
 
         run_scenario(scenario, workers=5)
 
+    def test_takeover_does_not_wait_for_a_worker_that_no_leader_has_used(self):
+        # Regression: an entry of a worker that does not exist delayed all jobs accepted before.
+        async def scenario(harness):
+            running = make_job(make_step(count=4, accelerators=8, seconds=20.0))
+            await harness.start_job(running, 4, 8)
+            await asyncio.sleep(2.0)
+            await harness.kill(harness.leader_name)
+            harness.cluster.add_worker("worker-99").crash()
+            job = make_job()
+            harness.cluster.submit(job)
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await harness.wait_until(lambda: count_runs(harness, job) == 1, 1.0)
+
+        run_scenario(scenario, workers=5)
+
     def test_other_jobs_do_not_wait_for_a_worker_that_was_leaving(self):
         async def scenario(harness):
             job = make_job(make_step(count=4, accelerators=8, seconds=20.0))
