--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -9,7 +9,7 @@
 import msgspec
 import structlog
 
-from jaypier.core.clock import BootClock, MonotonicClock
+from jaypier.core.clock import BootClock
 from jaypier.core.codec import to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.core.supervision import supervise
@@ -78,7 +78,8 @@
 
     def __init__(self, settings: VmSettings) -> None:
         self.settings = settings
-        self.clock = MonotonicClock()
+        # A permission must not outlive a suspension of the VM, during which other clocks stand still.
+        self.clock = BootClock()
         self.metrics = Metrics()
         self.rng = random.Random()
         self.incarnation = f"{settings.name}/{time.time_ns()}"
--- a/src/jaypier/entry/tests/test_daemon.py
+++ b/src/jaypier/entry/tests/test_daemon.py
@@ -7,7 +7,7 @@
 import pytest
 
 from jaypier.core.address import Address
-from jaypier.core.clock import VirtualClock
+from jaypier.core.clock import BootClock, VirtualClock
 from jaypier.entry.configuration import Configuration, Route, Team
 from jaypier.entry.daemon import EntryDaemon
 from jaypier.entry.settings import Bounds, VmSettings
@@ -47,6 +47,13 @@
     return daemon
 
 
+class TestClock:
+    def test_leadership_counts_the_time_of_a_suspension(self):
+        # Regression: authority outlived a suspension of the VM.
+        daemon = EntryDaemon(make_daemon(None).settings)
+        assert isinstance(daemon.clock, BootClock)
+
+
 class TestAdmission:
     JOB = make_job(make_step(accelerators=8), slack_factor=1.5)
 
