--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -78,7 +78,7 @@
 
     def __init__(self, settings: VmSettings) -> None:
         self.settings = settings
-        # A permission must not outlive a suspension of the VM, during which other clocks stand still.
+        # Other clocks stand still while the VM is suspended, and its authority would outlive that.
         self.clock = BootClock()
         self.metrics = Metrics()
         self.rng = random.Random()
--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -148,7 +148,8 @@
         state.is_recovered = may_have_started or orphan is not None
         for worker_id in orphan.workers if orphan else ():
             if worker_id in self.workers:
-                self.workers[worker_id].is_reconciled = False
+                worker = self.workers[worker_id]
+                worker.is_reconciled, worker.recorded_tasks = False, None
         self.insert_job(state)
         return state
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -12,6 +12,7 @@
 
 from jaypier.core.clock import Clock
 from jaypier.core.metrics import Metrics
+from jaypier.jobs.authority import Authority
 from jaypier.jobs.cluster_state import ClusterState, UnknownRun
 from jaypier.jobs.contained_planning import plan_with_failures
 from jaypier.jobs.crash_log import log_crashes
@@ -41,9 +42,7 @@
 from jaypier.jobs.team_log import TeamLog
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.jobs.witnesses import (
-    MAX_SECONDS_WITHOUT_STORE,
     WITNESSES_KEY,
-    Witnesses,
     WitnessSet,
     decode_witnesses,
 )
@@ -75,10 +74,6 @@
 STORE_RETRY_DELAY_SECONDS = 0.25
 """Delay before the store is called again after it did not answer."""
 
-STORE_CONFIRMATION_MAX_AGE_SECONDS = 2.0
-"""Age of the last confirmed write up to which the leader starts runs and extends leases in any
-case: the time after which other daemons take over."""
-
 RECONCILE_MARGIN_SECONDS = 0.17
 """Margin of the time after which no run of an earlier leader is active on a worker."""
 
@@ -129,8 +124,7 @@
     :ivar has_reconciled: whether every worker has reported to this leader or can have no active
         run of an earlier one.
     :ivar witnesses: workers whose reports show whether another leader may act.
-    :ivar authority_basis: what allows it to start runs and extend leases: ``"store"``,
-        ``"witnesses"``, or empty while nothing does.
+    :ivar authority: what allows it to start runs and extend leases.
     :ivar learned: what it has learned of the load and of the workers.
     :ivar left_out: rows that cannot be decoded.
     :ivar is_loaded: whether the state has been read from the store.
@@ -186,9 +180,8 @@
         self.progress_writer = ProgressWriter(self)
         self.elected_at = clock.now()
         self.has_reconciled = False
-        unfenced_seconds = writer.record.renewed_at - writer.record.unfenced_since
-        self.witnesses = Witnesses(self.elected_at, self.elected_at - max(0.0, unfenced_seconds))
-        self.authority_basis = "store"
+        self.authority = Authority(writer, self.cluster_state, clock, metrics, self.elected_at)
+        self.witnesses = self.authority.witnesses
         self.unconfirmed_jobs: dict[str, int] = {}
         self.unreadable_jobs: set[str] = set()
         self.is_loaded = False
@@ -591,95 +584,29 @@
 
     # Scheduling
 
-    @property
-    def is_confirmed_by_store(self) -> bool:
-        """Whether the last write that the store confirmed is recent."""
-        return self.clock.now() - self.writer.confirmed_at <= STORE_CONFIRMATION_MAX_AGE_SECONDS
-
     @property
     def has_authority(self) -> bool:
         """Whether this leader may send requests that start or preempt runs or extend leases."""
-        return bool(self.find_authority(self.clock.now()))
-
-    def find_authority(self, now: float) -> str:
-        """Return what allows this leader to act at a time, empty if nothing does.
-
-        It may act while the store, or more than half of the witnesses, have recently confirmed that
-        they know no newer leader; see ``docs/design/takeovers.md``.
-
-        :param now: time on the local clock, in seconds.
-        :returns: ``"store"``, ``"witnesses"`` or ``""``.
-        """
-        seconds = now - self.writer.confirmed_at
-        if seconds <= STORE_CONFIRMATION_MAX_AGE_SECONDS:
-            return "store"
-        if seconds > MAX_SECONDS_WITHOUT_STORE or not self.writer.is_fence_recorded:
-            return ""
-        is_confirmed = self.witnesses.have_confirmed(self.cluster_state.workers, now)
-        return "witnesses" if is_confirmed else ""
-
-    def grant_lease(self, worker: Worker, now: float) -> int | None:
-        """Extend the lease of the runs on a worker if this leader may act.
-
-        :param now: time on the local clock, in seconds. A request that is sent later carries the
-            lease of this time, so that a pause in between extends nothing.
-        :returns: the end of the lease on the worker's clock, in milliseconds; ``None`` if this
-            leader may not extend it.
-        """
-        return self.cluster_state.extend_lease(worker, now) if self.find_authority(now) else None
+        return bool(self.authority.find_basis(self.clock.now()))
 
-    def observe_process(self, worker: Worker, has_restarted: bool, now: float) -> None:
+    def observe_process(self, worker: Worker, has_restarted: bool) -> None:
         """Take note of the process of a worker that has reported.
 
         :param has_restarted: whether another process had reported before.
-        :param now: time on the local clock, in seconds.
         """
         if has_restarted:
             # An earlier leader cannot start anything on a process that the store does not name.
             worker.awaits_record = True
             self.progress_writer.write_requested.set()
-        self.observe_witness(worker, worker.born, now)
-
-    def observe_witness(self, worker: Worker, born: int, now: float) -> None:
-        """Take note that no earlier leader can use a process: it has reported here, or ended.
-
-        :param born: Unix time in milliseconds at which the process started.
-        :param now: time on the local clock, in seconds.
-        """
-        if self.witnesses.observe_process(worker.id, born, now):
-            log.info(
-                "earlier leaders fenced",
-                epoch=self.epoch,
-                seconds=now - self.elected_at,
-                fenced=len(self.witnesses.fenced),
-                witnesses=len(self.witnesses.inherited.processes),
-            )
-            self.record_fence()
+        self.authority.observe_process(worker.id, worker.born)
+        self.record_fence()
 
     def record_fence(self) -> None:
         """Have the store record that no earlier leader acts any more, once that is so."""
-        is_recorded = self.writer.record.unfenced_since == 0.0
-        if not is_recorded and not self.witnesses.may_earlier_act(self.clock.now()):
+        if self.authority.is_fence_due:
             self.writer.record_fence()
             self.progress_writer.write_requested.set()
 
-    def log_authority(self) -> None:
-        """Log and count each change of what allows this leader to start runs and extend leases."""
-        now = self.clock.now()
-        basis = self.find_authority(now)
-        if basis == self.authority_basis:
-            return
-        self.authority_basis = basis
-        self.metrics.count("leader.authority_changes")
-        log.info(
-            "authority changed",
-            epoch=self.epoch,
-            basis=basis or "none",
-            reporting=self.witnesses.count_recent(self.cluster_state.workers, now),
-            witnesses=len(self.witnesses.recorded.processes),
-            confirmed_age=now - self.writer.confirmed_at,
-        )
-
     async def run_scheduling(self) -> None:
         """Start the sessions of loaded workers, then run a scheduling pass whenever requested."""
         for session in self.sessions.values():
@@ -792,11 +719,11 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             now = self.clock.now()
-            self.log_authority()
+            self.authority.log_change()
             self.record_fence()
             self.cluster_state.open_due_occurrences(self.wall_clock())
             for worker in self.cluster_state.crashes.settle_ended_processes():
-                self.observe_witness(worker, worker.latest_born, now)
+                self.authority.observe_process(worker.id, worker.latest_born)
                 self.drop_worker(worker)
             if self.cluster_state.unconfirmed_losses:
                 self.progress_writer.write_requested.set()
@@ -866,7 +793,7 @@
         session = self.sessions.get(worker.id)
         if session is None:
             return
-        deadline = self.grant_lease(worker, self.clock.now())
+        deadline = self.authority.grant_lease(worker, self.clock.now())
         if deadline is None:
             self.release_unsent_run(run, "another daemon may lead")
             return
@@ -877,7 +804,7 @@
             is_recorded = await self.progress_writer.wait_until_start_recorded(
                 run, START_TIMEOUT_SECONDS
             )
-            deadline = self.grant_lease(worker, self.clock.now()) if is_recorded else None
+            deadline = self.authority.grant_lease(worker, self.clock.now()) if is_recorded else None
             if deadline is None:
                 log.info("start not recorded in time", task=str(run.task), attempt=run.attempt)
                 self.cluster_state.apply_start_response(
@@ -956,7 +883,7 @@
             return "worker overcommitted or its capacity unknown"
         if worker.latest_born != born:
             return "worker restarted"
-        return "" if self.find_authority(now) else "another daemon may lead"
+        return "" if self.authority.find_basis(now) else "another daemon may lead"
 
     def withdraw_start(self, run: Run, reason: str, is_sent: bool) -> None:
         """Release a run that is not to start any more; stop it if it may have started.
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -145,7 +145,7 @@
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
         if worker.is_reconciled and worker.runs and not worker.is_unreachable:
-            deadline = leader.grant_lease(worker, sent_at)
+            deadline = leader.authority.grant_lease(worker, sent_at)
         is_waiting_for_end = deadline is not None or worker.has_unknown_runs
         wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
         if worker.last_processed_end > worker.last_durable_end:
@@ -161,7 +161,7 @@
         had_unknown_runs = worker.has_unknown_runs
         ends, unknown = leader.cluster_state.apply_report(worker, report, sent_at, now)
         has_restarted = worker.born != born
-        leader.observe_process(worker, has_restarted, now)
+        leader.observe_process(worker, has_restarted)
         self.last_acknowledged = 0 if has_restarted else max(self.last_acknowledged, acknowledged)
         if was_unreachable:
             log.info("worker reachable", worker=worker.id)
@@ -201,7 +201,7 @@
             await self.wait_for_wake(IDLE_CHECK_SECONDS)
             clock_age = leader.clock.now() - worker.clock_read_at
             is_due = self.is_report_requested or clock_age > CLOCK_MAX_AGE_SECONDS
-            if is_due or not leader.is_confirmed_by_store:
+            if is_due or not leader.authority.is_confirmed_by_store:
                 return
 
     @property
