--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -23,6 +23,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
 STORE_CALL_S = 0.004
+MAX_ROW_BYTES = 65536
 STORE_TX_S = 0.003
 MAX_HOLD_MS = 6000
 GANG_TIMEOUT_S = 3.0
@@ -259,6 +260,10 @@
         writes, removes = body.get("Write", []), body.get("Remove", [])
         if any(row["Table"] in ("op", "servers") for row in writes + removes):
             return 403, {}
+        too_long = [row["Key"] for row in writes if len(row["Value"]) // 4 * 3 - 2 > MAX_ROW_BYTES]
+        if too_long:
+            self.record(f"the store refuses a write: too long {too_long}")
+            return 400, {}
         self.version += 1
         for row in writes:
             new = {**row, "part": "", "RowVersion": self.version}
