--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,7 @@
 """A task runs twice: a start that its minion carries out late is taken for lapsed.
 
 The minion goes down and comes back under its id while a job is assigned to it. The start reaches its
-new life before the leader knows of that. The minion then hangs for 7 s, with its heartbeats, and
+new life before the leader knows of that. The minion then hangs for 6.5 s, with its heartbeats, and
 carries out afterwards what it has received.
 """
 
@@ -19,7 +19,7 @@
 FILLER_S = 12.0
 DOWN_S = 0.5
 ARRIVES_S = 0.22
-HANGS_S = 7.0
+HANGS_S = 6.5
 
 
 def overlap(runs):
