jobs: one module concludes that a run without a reported end is over

Cause: the conclusion was drawn at four callers (report, lease, next process, successor), each with its own reading of docs/design/takeovers.md, and no log line told which of them had ended a run.

No decision changes. Removing a worker no longer ends runs: it is only removed without any.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -12,6 +12,7 @@
 import attrs
 
 from jaypier.jobs.crashes import CrashRecord
+from jaypier.jobs.evidence import Conclusion, LostRun, judge_by_report, open_until
 from jaypier.jobs.freshness import EntryFreshness
 from jaypier.jobs.model import (
     ActiveRun,
@@ -110,6 +111,8 @@
     :ivar durations: expected durations of steps.
     :ivar speeds: speeds of workers.
     :ivar unconfirmed_losses: tasks that await confirmation after the loss of their run.
+    :ivar lost_runs: runs that were concluded to be over without a reported end and have not been
+        logged yet.
     :ivar crashes: crashes of workers and the tasks that may have caused them.
     """
 
@@ -129,6 +132,7 @@
         self.durations = DurationModel()
         self.speeds = WorkerSpeeds()
         self.unconfirmed_losses: list[TaskState] = []
+        self.lost_runs: list[LostRun] = []
         self.crashes = CrashRecord(self)
 
     # Jobs
@@ -304,26 +308,9 @@
             worker.deregistered_at = now
 
     def remove_worker(self, worker: Worker) -> None:
-        """Remove a worker that will not come back; its runs are lost."""
-        self.mark_runs_lost(worker)
+        """Remove a worker that has no runs and will not come back."""
         self.workers.pop(worker.id, None)
 
-    def mark_runs_lost(self, worker: Worker) -> None:
-        """Mark all runs on a worker as lost."""
-        for run in list(worker.runs.values()):
-            self.mark_run_lost(run)
-
-    def mark_ended_with_process(self, run: Run) -> None:
-        """Record that a run has ended with the process of its worker.
-
-        That shows neither how it ended, nor whether a newer leader knows: its task starts again
-        once the store has confirmed a write that was sent later.
-        """
-        task = run.step.tasks[run.task.index]
-        task.awaits_confirmation = True
-        self.unconfirmed_losses.append(task)
-        self.mark_run_lost(run)
-
     def confirm_losses(self, tasks: Iterable[TaskState]) -> None:
         """Let tasks start again whose runs were lost before a write that is confirmed."""
         confirmed = {id(task) for task in tasks}
@@ -333,16 +320,26 @@
             task for task in self.unconfirmed_losses if id(task) not in confirmed
         ]
 
+    def has_expired_runs(self, since: float, now: float) -> bool:
+        """Whether the time after which a run on a silent worker is over lies between two times.
+
+        :param since: time on the local clock, in seconds.
+        :param now: later time on the local clock, in seconds.
+        """
+        runs = (run for worker in self.workers.values() for run in worker.runs.values())
+        return any(since <= open_until(run) < now for run in runs)
+
     def expire_leases(self, now: float) -> list[Worker]:
-        """Mark the runs of workers whose lease has expired as lost; return these workers.
+        """Mark the runs as lost that are over by time alone; return the workers that had any.
 
         :param now: time on the local clock, in seconds.
         """
-        expired = [
-            each for each in self.workers.values() if each.runs and now > each.lease_expires_at
-        ]
-        for worker in expired:
-            self.mark_runs_lost(worker)
+        expired = []
+        for worker in self.workers.values():
+            runs = [run for run in worker.runs.values() if now > open_until(run)]
+            for run in runs:
+                self.settle_run(run, Conclusion.ENDED, "lease")
+            expired += [worker] if runs else []
         return expired
 
     @property
@@ -427,8 +424,21 @@
         run.is_stopping = True
         return True
 
-    def mark_run_lost(self, run: Run) -> None:
-        """Record that a run has ended with unknown outcome."""
+    def settle_run(self, run: Run, conclusion: Conclusion, evidence: str) -> None:
+        """Record that a run without a reported end is over; do nothing while it is open.
+
+        After the end of its worker's process, its task starts again once the store has confirmed a
+        write that was sent later.
+
+        :param evidence: what shows it, for the log; see :class:`LostRun`.
+        """
+        if conclusion is Conclusion.OPEN:
+            return
+        if conclusion is Conclusion.ENDED_WITH_PROCESS:
+            task = run.step.tasks[run.task.index]
+            task.awaits_confirmation = True
+            self.unconfirmed_losses.append(task)
+        self.lost_runs.append(LostRun(*run.key, run.worker.id, evidence, conclusion))
         self.crashes.observe_lost_run(run)
         self.end_run(run)
         self.end_unrepeatable_job(run.step.job)
@@ -520,17 +530,13 @@
             if end.sequence_number > worker.last_processed_end
         }
         lists_all_ends = len(report.ended) < MAX_ENDS_PER_REPORT
-        for run in list(worker.runs.values()):
-            is_conclusive = (
-                sent_at > run.reports_conclusive_after or report.clock > run.start_deadline
-            )
-            is_listed = run.key in active or run.key in deferred
-            if not is_listed and is_conclusive and lists_all_ends:
-                if has_restarted:
-                    self.mark_ended_with_process(run)
-                else:
-                    self.crashes.exempt_run(run)
-                    self.mark_run_lost(run)
+        for run in list(worker.runs.values()) if lists_all_ends else []:
+            if run.key in active or run.key in deferred:
+                continue
+            conclusion = judge_by_report(run, report, sent_at, has_restarted)
+            if conclusion is Conclusion.ENDED:
+                self.crashes.exempt_run(run)
+            self.settle_run(run, conclusion, "next process" if has_restarted else "report")
         worker.born = report.born
         self.crashes.observe_report(worker, has_restarted)
         worker.silent_since = -math.inf
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from jaypier.jobs.evidence import Conclusion
 from jaypier.jobs.model import EndedRun, JobStatus, RunOutcome, TaskId
 from jaypier.jobs.state import Run, StepState, TaskState, Worker
 
@@ -273,7 +274,7 @@
         ended = [worker for worker in workers.values() if has_ended(worker, newest)]
         for worker in ended:
             for run in list(worker.runs.values()):
-                self.cluster_state.mark_ended_with_process(run)
+                self.cluster_state.settle_run(run, Conclusion.ENDED_WITH_PROCESS, "successor")
             worker.is_reconciled = True
             if worker.entry.is_ready:
                 empty = SilentProcess(worker.entry.machine, worker.born, worker.silent_since)
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -634,6 +634,7 @@
         plan_seconds = 0.0
         self.reconcile_workers()
         log_crashes(self.cluster_state.crashes, self.metrics)
+        self.log_lost_runs()
         self.stop_runs(self.cluster_state.mark_obsolete_runs(), "no longer needed")
         self.stop_runs(mark_straggler_runs(self.cluster_state), "straggler")
         self.stop_runs(mark_draining_runs(self.cluster_state, self.clock.now()), "worker draining")
@@ -654,6 +655,20 @@
             self.progress_writer.write_requested.set()
         return plan_seconds
 
+    def log_lost_runs(self) -> None:
+        """Log and count the runs that were concluded to be over without a reported end."""
+        for lost in self.cluster_state.lost_runs:
+            self.metrics.count("leader.runs_lost")
+            log.info(
+                "run lost",
+                task=str(lost.task),
+                attempt=lost.attempt,
+                worker=lost.worker_id,
+                evidence=lost.evidence,
+                conclusion=str(lost.conclusion),
+            )
+        self.cluster_state.lost_runs.clear()
+
     def reconcile_workers(self) -> None:
         """Stop waiting for reports of workers on which no run of an earlier leader can be active.
 
@@ -750,8 +765,7 @@
         :param now: time on the local clock, in seconds.
         """
         confirmed_at = self.writer.confirmed_at
-        workers = self.cluster_state.workers.values()
-        if any(each.runs and confirmed_at <= each.lease_expires_at < now for each in workers):
+        if self.cluster_state.has_expired_runs(confirmed_at, now):
             self.progress_writer.request_confirmation()
         return self.cluster_state.expire_leases(confirmed_at)
 
