jobs: a run lost with its worker's process waits for the store at any report

Cause: rule 5 of docs/design/takeovers.md (nothing follows from a restart without a confirmed write) was applied if the report that ended the run was the first one of the next process. If that one was not conclusive and the stop was answered, the second report ended the run as one of a process that still runs, and its task started at once; the next leader had recorded its end meanwhile.

Fix: a run has the start of the process that it was assigned to, or that has reported it; any report of another process than that ends it subject to confirmation. The crash record names that process, too.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -404,7 +404,7 @@
         :param attempt: attempt number of the run.
         :param now: time on the local clock, in seconds.
         """
-        run = Run(task.id, attempt, worker, step, now, is_timed=not task.checkpoint)
+        run = Run(task.id, attempt, worker, step, now, worker.born, is_timed=not task.checkpoint)
         task.run = run
         worker.allocate(run)
         state = step.job
@@ -515,7 +515,7 @@
             UnknownRun(worker.id, each.task, each.attempt)
             for each in report.active
             if not self.should_defer_orphan(each.task.job_id, worker, now)
-            and not self.apply_active_run(worker, each, sent_at, now)
+            and not self.apply_active_run(worker, each, report.born, sent_at, now)
         ]
         active = {(each.task, each.attempt) for each in report.active}
         worker.has_unknown_runs = not active <= worker.runs.keys()
@@ -533,10 +533,11 @@
         for run in list(worker.runs.values()) if lists_all_ends else []:
             if run.key in active or run.key in deferred:
                 continue
-            conclusion = judge_by_report(run, report, sent_at, has_restarted)
+            conclusion = judge_by_report(run, report, sent_at)
             if conclusion is Conclusion.ENDED:
                 self.crashes.exempt_run(run)
-            self.settle_run(run, conclusion, "next process" if has_restarted else "report")
+            is_same_process = run.born == report.born
+            self.settle_run(run, conclusion, "report" if is_same_process else "next process")
         worker.born = report.born
         self.crashes.observe_report(worker, has_restarted)
         worker.silent_since = -math.inf
@@ -544,10 +545,11 @@
         return new_ends, unknown
 
     def apply_active_run(
-        self, worker: Worker, active: ActiveRun, sent_at: float, now: float
+        self, worker: Worker, active: ActiveRun, born: int, sent_at: float, now: float
     ) -> bool:
         """Apply a run that a worker reports as active; return whether it should continue.
 
+        :param born: Unix time in milliseconds at which the process that reports it started.
         :param sent_at: time on the local clock, in seconds, at which the report was requested.
         :param now: time on the local clock, in seconds.
         """
@@ -560,6 +562,7 @@
         elif not run.is_confirmed:
             run.is_on_probation = True
         run.is_confirmed = True
+        run.born = born
         run.reports_conclusive_after = min(run.reports_conclusive_after, sent_at)
         if active.percent > run.percent or run.last_progress_at == math.inf:
             run.percent, run.last_progress_at = active.percent, now
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -163,8 +163,8 @@
         """Remember a lost run until it is known whether its worker's process has ended."""
         worker = run.worker
         process = self.silent.get(worker.id)
-        if process is None or process.born != worker.born:
-            process = SilentProcess(worker.entry.machine, worker.born, worker.silent_since)
+        if process is None or process.born != run.born:
+            process = SilentProcess(worker.entry.machine, run.born, worker.silent_since)
             self.silent[worker.id] = process
             if len(self.silent) > MAX_SILENT_PROCESSES:
                 del self.silent[next(iter(self.silent))]
--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -41,18 +41,17 @@
     conclusion: Conclusion
 
 
-def judge_by_report(
-    run: Run, report: WorkerReport, requested_at: float, has_restarted: bool
-) -> Conclusion:
+def judge_by_report(run: Run, report: WorkerReport, requested_at: float) -> Conclusion:
     """Return what a report with all runs shows of one that it does not list.
 
+    The report of another process than the run's does not tell how the run ended there.
+
     :param requested_at: time on the local clock, in seconds, at which the report was requested.
-    :param has_restarted: whether an earlier process of the worker had reported before.
     """
     is_settled = requested_at > run.reports_conclusive_after
     if not is_settled and report.clock <= run.start_deadline:
         return Conclusion.OPEN
-    return Conclusion.ENDED_WITH_PROCESS if has_restarted else Conclusion.ENDED
+    return Conclusion.ENDED_WITH_PROCESS if report.born > run.born else Conclusion.ENDED
 
 
 def open_until(run: Run) -> float:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -38,6 +38,8 @@
     :param worker: worker that the task is assigned to.
     :param step: step of the task.
     :param started_at: time on the local clock, in seconds, of the assignment.
+    :param born: Unix time in milliseconds at which the process started that the run was assigned
+        to, or that has reported it since.
     :param start_deadline: time on the worker's clock in milliseconds after which the start request
         has no effect.
     :param reports_conclusive_after: time on the local clock, in seconds, after which a report tells
@@ -63,6 +65,7 @@
     worker: "Worker"
     step: "StepState"
     started_at: float
+    born: int
     start_deadline: int = UNSENT_DEADLINE
     reports_conclusive_after: float = math.inf
     is_confirmed: bool = False
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -60,6 +60,14 @@
 TAKEOVER_REGRESSION_SEEDS = (6023, 6024, 6053, 6056, 6073, 6081, 6104)
 """Seeds outside this range that failed before: both leaders started tasks that were running."""
 
+COMBINED_SEEDS = range(7000, 7012)
+"""Seeds that add to schedules, operators and random faults unclear starts, long cuts and workers
+that are cut off, all together."""
+
+COMBINED_REGRESSION_SEEDS = (40571,)
+"""Seeds outside this range that failed before: a leader that had been replaced started tasks that
+the next one had recorded as done."""
+
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
 
@@ -525,6 +533,10 @@
     def test_invariants_hold_beside_leaders_that_are_cut_off(self, seed):
         run_seed(seed, has_long_cuts=True)
 
+    @pytest.mark.parametrize("seed", [*COMBINED_SEEDS, *COMBINED_REGRESSION_SEEDS])
+    def test_invariants_hold_beside_unclear_starts_and_cuts(self, seed):
+        run_seed(seed, has_unclear_starts=True, has_long_cuts=True, has_partitions=True)
+
     @pytest.mark.parametrize("seed", LIMIT_SEEDS)
     def test_invariants_hold_while_team_limits_change(self, seed):
         run_seed(seed, has_team_limits=True)
