jobs: a start without a response stays open beyond the lease of a silent worker

Cause: a run whose start had no response was taken for lapsed at the end of its lease. Lease and deadline are by the clock of the process that had reported; a process that has restarted under the same id carries the request out whenever its turn comes, as its clock begins anew. The same class: an answered stop was taken to bind the next process, and nothing was told to that one of starts that may still be under way.

Evidence: run.unanswered_at and the answers to stops are recorded with the process they are about. jobs/evidence.py concludes from them: by time, such a run is over with its lease only if its process is known to have outlived the request (a report, or its entry, which the platform lists for three heartbeats at most), otherwise 24 s later; by a report of the next process only once that process has answered a stop, its own clock is past the deadline, or the 24 s are over. The next process is told to stop whatever may still reach it, also runs that have ended.

Why it works: what may still begin holds its task, whatever the leader believes about leases; the wait concerns one task (or its gang), and ends by itself if the worker never returns.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -12,7 +12,13 @@
 import attrs
 
 from jaypier.jobs.crashes import CrashRecord
-from jaypier.jobs.evidence import Conclusion, LostRun, judge_by_report, open_until
+from jaypier.jobs.evidence import (
+    Conclusion,
+    LostRun,
+    judge_by_report,
+    judge_by_time,
+    late_starts,
+)
 from jaypier.jobs.freshness import EntryFreshness
 from jaypier.jobs.model import (
     ActiveRun,
@@ -320,27 +326,28 @@
             task for task in self.unconfirmed_losses if id(task) not in confirmed
         ]
 
-    def has_expired_runs(self, since: float, now: float) -> bool:
-        """Whether the time after which a run on a silent worker is over lies between two times.
+    def expired_runs(self, now: float) -> list[Run]:
+        """Return the runs that are over by time alone.
 
-        :param since: time on the local clock, in seconds.
-        :param now: later time on the local clock, in seconds.
+        :param now: time on the local clock, in seconds.
         """
-        runs = (run for worker in self.workers.values() for run in worker.runs.values())
-        return any(since <= open_until(run) < now for run in runs)
+        lease_seconds, alive_at = self.longest_lease_seconds, self.entry_freshness.listed_alive_at
+        return [
+            run
+            for worker in self.workers.values()
+            for run in worker.runs.values()
+            if judge_by_time(run, now, lease_seconds, alive_at) is not Conclusion.OPEN
+        ]
 
     def expire_leases(self, now: float) -> list[Worker]:
         """Mark the runs as lost that are over by time alone; return the workers that had any.
 
         :param now: time on the local clock, in seconds.
         """
-        expired = []
-        for worker in self.workers.values():
-            runs = [run for run in worker.runs.values() if now > open_until(run)]
-            for run in runs:
-                self.settle_run(run, Conclusion.ENDED, "lease")
-            expired += [worker] if runs else []
-        return expired
+        expired = self.expired_runs(now)
+        for run in expired:
+            self.settle_run(run, Conclusion.ENDED, "lease")
+        return list({run.worker.id: run.worker for run in expired}.values())
 
     @property
     def longest_lease_seconds(self) -> float:
@@ -418,10 +425,10 @@
         return run
 
     def mark_stopping(self, run: Run) -> bool:
-        """Mark a run to be stopped; return whether it was not marked before."""
-        if run.is_stopping:
+        """Mark a run to be stopped; return whether its worker's process has yet to be told."""
+        if run.is_stopping and run.stopping_born == run.worker.born:
             return False
-        run.is_stopping = True
+        run.is_stopping, run.stopping_born = True, run.worker.born
         return True
 
     def settle_run(self, run: Run, conclusion: Conclusion, evidence: str) -> None:
@@ -518,6 +525,8 @@
             and not self.apply_active_run(worker, each, report.born, sent_at, now)
         ]
         active = {(each.task, each.attempt) for each in report.active}
+        if has_restarted:
+            unknown += self.find_late_starts(worker, active, now)
         worker.has_unknown_runs = not active <= worker.runs.keys()
         if worker.has_unknown_runs:
             # Whoever started them may have extended their lease just now.
@@ -544,6 +553,20 @@
         update_slow_worker(worker, self.estimate_accuracy, now)
         return new_ends, unknown
 
+    def find_late_starts(
+        self, worker: Worker, active: set[tuple[TaskId, int]], now: float
+    ) -> list[UnknownRun]:
+        """Return runs that have ended and may begin again on the next process of their worker.
+
+        That process knows neither their ends nor the stops that the one before has answered.
+
+        :param active: runs that it has reported as active, by task and attempt number.
+        :param now: time on the local clock, in seconds.
+        """
+        late = late_starts(worker, now)
+        worker.unanswered_starts = {key: worker.unanswered_starts[key] for key in late}
+        return [UnknownRun(worker.id, *key) for key in set(late) - worker.runs.keys() - active]
+
     def apply_active_run(
         self, worker: Worker, active: ActiveRun, born: int, sent_at: float, now: float
     ) -> bool:
@@ -698,6 +721,26 @@
         if len(failed) >= limit and not step.job.status.is_final:
             step.job.status = JobStatus.FAILED
 
+    def begin_start_request(self, run: Run, now: float) -> float:
+        """Record that a start request is about to be sent, so that it may have no response.
+
+        :param now: time on the local clock, in seconds.
+        :returns: time of the newest one before without a response, for :meth:`end_start_request`.
+        """
+        earlier = run.unanswered_at
+        run.unanswered_at = now
+        pending = {key: run.worker.unanswered_starts[key] for key in late_starts(run.worker, now)}
+        run.worker.unanswered_starts = {**pending, run.key: now}
+        return earlier
+
+    def end_start_request(self, run: Run, earlier: float) -> None:
+        """Record that a start request had a response, or has not been sent."""
+        run.unanswered_at = earlier
+        if earlier == -math.inf:
+            run.worker.unanswered_starts.pop(run.key, None)
+        else:
+            run.worker.unanswered_starts[run.key] = earlier
+
     def apply_start_response(
         self, run: Run, response: StartResponse, now: float, has_unanswered_try: bool = False
     ) -> StartVerdict:
@@ -727,8 +770,9 @@
     def mark_obsolete_runs(self) -> Iterator[Run]:
         """Mark runs that are no longer needed to be stopped, and return those newly marked.
 
-        These are runs of ended jobs and of tasks that are done, and the remaining runs of gangs in
-        which a task has ended.
+        These are runs of ended jobs and of tasks that are done, the remaining runs of gangs in
+        which a task has ended, and those whose start the next process of their worker may carry
+        out.
         """
         for worker in self.workers.values():
             for run in worker.runs.values():
@@ -738,6 +782,8 @@
     def is_obsolete(self, run: Run) -> bool:
         """Whether a run is no longer needed; runs of a gang that is done end by themselves."""
         step = run.step
+        if run.is_beside_next_process:
+            return True
         if step.spec.is_gang and step.is_done:
             return False
         if step.job.status.is_final or step.tasks[run.task.index].is_done:
--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -5,12 +5,22 @@
 are pure: they perform no I/O and read no clock.
 """
 
+import math
 from enum import StrEnum
 
 import attrs
 
 from jaypier.jobs.model import TaskId, WorkerReport
-from jaypier.jobs.state import Run
+from jaypier.jobs.state import Run, Worker
+
+LONGEST_REQUEST_DELAY_SECONDS = 24.0
+"""Longest time for which a request without a response is assumed to be still under way. The
+specification says "seconds" and states no limit."""
+
+
+DELIVERY_SECONDS = 1.0
+"""Time after which a request has reached the process that runs then, if any: a connection is
+established, and a response arrives or not."""
 
 
 class Conclusion(StrEnum):
@@ -44,19 +54,71 @@
 def judge_by_report(run: Run, report: WorkerReport, requested_at: float) -> Conclusion:
     """Return what a report with all runs shows of one that it does not list.
 
-    The report of another process than the run's does not tell how the run ended there.
+    The report of another process than the run's does not tell how the run ended there. Nor does it
+    tell that an earlier start request will not be carried out: the deadline and an answered stop
+    hold for the process that has the clock, or has answered.
 
     :param requested_at: time on the local clock, in seconds, at which the report was requested.
     """
-    is_settled = requested_at > run.reports_conclusive_after
-    if not is_settled and report.clock <= run.start_deadline:
+    is_void = report.clock > run.start_deadline
+    if report.born <= run.born:
+        is_settled = requested_at > run.reports_conclusive_after
+        return Conclusion.ENDED if is_settled or is_void else Conclusion.OPEN
+    if not run.is_sent:
+        # Its start is withdrawn before it is sent.
         return Conclusion.OPEN
-    return Conclusion.ENDED_WITH_PROCESS if report.born > run.born else Conclusion.ENDED
+    is_refused = run.stop_answered_by == report.born and requested_at > run.stop_answered_at
+    is_awaited = requested_at <= run.unanswered_at + LONGEST_REQUEST_DELAY_SECONDS
+    may_begin = is_awaited and not is_refused and not is_void
+    return Conclusion.OPEN if may_begin else Conclusion.ENDED_WITH_PROCESS
+
+
+def judge_by_time(run: Run, now: float, lease_seconds: float, listed_alive_at: float) -> Conclusion:
+    """Return what the time shows of a run on a worker that does not report.
 
+    The lease, and the deadline of the start, are by the clock of the run's process. They tell
+    nothing of a next process that may carry out a start without a response, and afterwards a
+    renewal.
 
-def open_until(run: Run) -> float:
-    """Return until when a run on a silent worker may be active, or may begin.
+    :param now: time on the local clock, in seconds.
+    :param lease_seconds: longest time on the local clock for which a lease may last.
+    :param listed_alive_at: time on the local clock, in seconds, at which all processes were alive
+        whose entries are listed.
+    """
+    over_at = run.worker.lease_expires_at
+    if may_reach_next_process(run, listed_alive_at):
+        over_at = max(over_at, run.unanswered_at + lease_seconds) + LONGEST_REQUEST_DELAY_SECONDS
+    return Conclusion.ENDED if now > over_at else Conclusion.OPEN
+
+
+def may_reach_next_process(run: Run, listed_alive_at: float) -> bool:
+    """Whether another process than the run's may have received a start without a response.
 
-    :returns: time on the local clock, in seconds.
+    None has if the run's process was still alive when the request had been delivered: the next one
+    holds nothing of what the one before has received.
+
+    :param listed_alive_at: time on the local clock, in seconds, at which all processes were alive
+        whose entries are listed.
+    """
+    if run.unanswered_at == -math.inf:
+        return False
+    worker = run.worker
+    is_listed = worker.is_registered and worker.latest_born == worker.entry.born == run.born
+    alive_at = max(
+        listed_alive_at if is_listed else -math.inf,
+        worker.report_requested_at if worker.born == run.born else -math.inf,
+    )
+    return alive_at <= run.unanswered_at + DELIVERY_SECONDS
+
+
+def late_starts(worker: Worker, now: float) -> list[tuple[TaskId, int]]:
+    """Return the runs on a worker of which a start request may still be under way.
+
+    :param now: time on the local clock, in seconds.
+    :returns: task and attempt number of each.
     """
-    return run.worker.lease_expires_at
+    return [
+        key
+        for key, sent_at in worker.unanswered_starts.items()
+        if now <= sent_at + LONGEST_REQUEST_DELAY_SECONDS
+    ]
--- a/src/jaypier/jobs/freshness.py
+++ b/src/jaypier/jobs/freshness.py
@@ -20,17 +20,24 @@
 start request may take 0.4 s."""
 
 
+ENTRY_SECONDS = 5.0
+"""Longest time from the last heartbeat of a process until its entry is gone, while the store is
+available: three heartbeats and a margin."""
+
+
 @attrs.define
 class EntryFreshness:
     """Time up to which all changes of capacity are known.
 
     All times are on the local clock, in seconds.
 
-    :param last_read_at: time at which the last successful read of the entries was answered.
+    :param last_sent_at: time at which the last successful read of the entries was sent.
+    :param last_read_at: time at which it was answered.
     :param available_since: time of the first read since which the store has been available.
     :param known_until: time up to which all changes of capacity have been announced and read.
     """
 
+    last_sent_at: float = -math.inf
     last_read_at: float = -math.inf
     available_since: float = -math.inf
     known_until: float = -math.inf
@@ -45,10 +52,16 @@
         """
         if sent_at - self.last_read_at > MAX_READ_GAP_SECONDS:
             self.available_since = sent_at
-        self.last_read_at = now
+        self.last_sent_at, self.last_read_at = sent_at, now
         if sent_at - self.available_since >= ANNOUNCEMENT_SECONDS:
             self.known_until = sent_at - ANNOUNCEMENT_SECONDS
 
+    @property
+    def listed_alive_at(self) -> float:
+        """Time at which all processes were alive whose entries are listed, ``-inf`` if unknown."""
+        alive_at = self.last_sent_at - ENTRY_SECONDS
+        return alive_at if self.available_since <= alive_at else -math.inf
+
     def is_recent(self, now: float) -> bool:
         """Whether the known capacities may still be used."""
         return now - self.known_until <= MAX_AGE_SECONDS
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -17,6 +17,7 @@
 from jaypier.jobs.contained_planning import plan_with_failures
 from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
+from jaypier.jobs.evidence import late_starts
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
 from jaypier.jobs.learned import LEARNED_KEY, LearnedState
 from jaypier.jobs.model import Job, StartRequest, StartResponse, TaskId, WorkerEntry
@@ -752,7 +753,8 @@
                 )
             for worker in list(self.cluster_state.workers.values()):
                 has_ended = self.writer.confirmed_at > worker.lease_expires_at
-                if not worker.is_registered and not worker.runs and has_ended:
+                is_unused = not worker.runs and not late_starts(worker, now)
+                if not worker.is_registered and is_unused and has_ended:
                     self.drop_worker(worker)
             self.scheduling_requested.set()
 
@@ -764,10 +766,10 @@
 
         :param now: time on the local clock, in seconds.
         """
-        confirmed_at = self.writer.confirmed_at
-        if self.cluster_state.has_expired_runs(confirmed_at, now):
+        expired = self.cluster_state.expire_leases(self.writer.confirmed_at)
+        if self.cluster_state.expired_runs(now):
             self.progress_writer.request_confirmation()
-        return self.cluster_state.expire_leases(confirmed_at)
+        return expired
 
     def drop_worker(self, worker: Worker) -> None:
         """Remove a deregistered worker on which nothing can run."""
@@ -840,6 +842,7 @@
                 self.withdraw_start(run, obstacle, is_sent=tries > 1)
                 return
             sent_at = self.clock.now()
+            earlier = self.cluster_state.begin_start_request(run, sent_at)
             try:
                 response = await session.link.start(self.epoch, request)
             except WorkerUnreachable as error:
@@ -860,6 +863,7 @@
                 self.cluster_state.avoid_worker(worker, self.clock.now())
                 self.give_up_start(run, f"start request failed: {error!r}")
                 return
+            self.cluster_state.end_start_request(run, earlier)
             break
         log.info(
             "start response received",
@@ -876,7 +880,7 @@
                 f"worker {worker.id} refused epoch {self.epoch}: it has accepted a newer one"
             )
         verdict = self.cluster_state.apply_start_response(
-            run, response, self.clock.now(), has_unanswered_try=tries > 1
+            run, response, self.clock.now(), has_unanswered_try=earlier > -math.inf
         )
         if verdict is StartVerdict.UNCLEAR:
             self.metrics.count("leader.starts_unclear")
@@ -925,13 +929,20 @@
             self.stop_runs([run], reason)
 
     async def stop_run(self, run: Run) -> None:
-        """Send the stop request of a run, retrying until a response arrives or the run ends."""
-        worker = run.worker
+        """Send the stop request of a run, retrying until a response arrives or the run ends.
+
+        Another one is sent if another process of the worker reports meanwhile.
+        """
+        worker, born = run.worker, run.worker.born
         session = self.sessions.get(worker.id)
         if session is None:
             return
-        if await session.stop(run.task, run.attempt, lambda: worker.runs.get(run.key) is run):
-            run.reports_conclusive_after = min(run.reports_conclusive_after, self.clock.now())
+
+        def is_needed() -> bool:
+            return worker.runs.get(run.key) is run and worker.born == born
+
+        if await session.stop(run.task, run.attempt, is_needed):
+            run.observe_stop(born, self.clock.now())
             session.wake_event.set()
 
     def stop_unknown_run(self, unknown: UnknownRun) -> None:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -44,12 +44,18 @@
         has no effect.
     :param reports_conclusive_after: time on the local clock, in seconds, after which a report tells
         whether the run exists: if a report requested later does not list the run, it has ended.
+    :param unanswered_at: time on the local clock, in seconds, at which the newest start request
+        without a response was sent; ``-inf`` if there is none.
+    :param stop_answered_by: Unix time in milliseconds at which the process started that has
+        answered a stop request, 0 if none has.
+    :param stop_answered_at: time on the local clock, in seconds, of that answer.
     :param is_confirmed: whether the worker has confirmed that the run started.
     :param is_on_probation: whether a crash of the worker would be attributed to the run, among
         others: this leader has started it, and it has not worked for long.
     :param is_timed: whether ``now - started_at`` is its duration when it succeeds: this leader has
         started it, without a checkpoint.
     :param is_stopping: whether the run has been marked to be stopped.
+    :param stopping_born: Unix time in milliseconds at which the process started that is to stop it.
     :param percent: newest reported progress in percent.
     :param last_progress_at: time on the local clock, in seconds, at which the progress last
         increased.
@@ -68,10 +74,14 @@
     born: int
     start_deadline: int = UNSENT_DEADLINE
     reports_conclusive_after: float = math.inf
+    unanswered_at: float = -math.inf
+    stop_answered_by: int = 0
+    stop_answered_at: float = math.inf
     is_confirmed: bool = False
     is_on_probation: bool = False
     is_timed: bool = False
     is_stopping: bool = False
+    stopping_born: int = 0
     percent: float = 0.0
     last_progress_at: float = math.inf
     sampled_percent: float = 0.0
@@ -83,6 +93,27 @@
         """Task and attempt number, which together identify the run."""
         return self.task, self.attempt
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a start request has been sent that the worker has not refused."""
+        return self.is_confirmed or self.unanswered_at > -math.inf
+
+    @property
+    def is_beside_next_process(self) -> bool:
+        """Whether another process of its worker has reported and does not list it."""
+        return self.born < self.worker.born
+
+    def observe_stop(self, born: int, now: float) -> None:
+        """Record that a process has answered a stop request for the run.
+
+        :param born: Unix time in milliseconds at which that process, or the last one that is known
+            to have run before, started.
+        :param now: time on the local clock, in seconds.
+        """
+        self.stop_answered_by, self.stop_answered_at = born, now
+        if born == self.born:
+            self.reports_conclusive_after = min(self.reports_conclusive_after, now)
+
     @property
     def may_crash_worker(self) -> bool:
         """Whether the run may just be starting, and so may still crash its worker."""
@@ -390,6 +421,8 @@
         They hold capacity until they have ended.
     :param silent_since: time on the local clock, in seconds, at which a request to it first failed
         after it had responded; ``-inf`` before.
+    :param unanswered_starts: time on the local clock, in seconds, of the newest start request
+        without a response, by task and attempt number; also of runs that have ended.
     :param speed: work done in a second relative to a worker of speed 1, as learned from its runs.
     :param runs: current runs by task and attempt number.
     :param free: resources that no run holds, negative where the runs exceed a capacity that has
@@ -420,6 +453,7 @@
     is_unreachable: bool = False
     has_unknown_runs: bool = False
     silent_since: float = -math.inf
+    unanswered_starts: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
     speed: float = 1.0
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     free: Resources = attrs.field(
--- a/src/jaypier/jobs/tests/test_evidence.py
+++ b/src/jaypier/jobs/tests/test_evidence.py
@@ -1,13 +1,90 @@
 """Conclusions on runs whose ends no worker has reported."""
 
+from jaypier.jobs.evidence import (
+    DELIVERY_SECONDS,
+    LONGEST_REQUEST_DELAY_SECONDS,
+    Conclusion,
+    judge_by_report,
+)
+from jaypier.jobs.freshness import ENTRY_SECONDS
+from jaypier.jobs.model import RunOutcome, WorkerReport
 from jaypier.jobs.tests.builders import (
     apply_report,
     make_cluster_state,
+    make_ended_run,
+    make_entry,
     make_job,
     make_planner,
 )
 
 
+def send_start(at: float = 0.0):
+    """Return a cluster and a run whose start was sent at a time and had no response."""
+    cluster_state = make_cluster_state(2)
+    planner = make_planner(cluster_state, make_job())
+    (run,) = planner.plan(at, at).starts
+    run.start_deadline = cluster_state.extend_lease(run.worker, at)
+    cluster_state.begin_start_request(run, at)
+    return cluster_state, planner, run
+
+
+def read_entries(cluster_state, since: float, until: float) -> None:
+    """Let the entries of all workers be read regularly."""
+    for number in range(int((until - since) / 0.4) + 1):
+        now = since + 0.4 * number
+        cluster_state.entry_freshness.observe_read(now, now)
+
+
+class TestSilentWorkers:
+    """Runs on workers that do not report any more."""
+
+    def lost_at(self, cluster_state, run) -> float:
+        """Return the time at which a run is lost, in steps of 0.1 s."""
+        for tenth in range(1000):
+            cluster_state.expire_leases(tenth / 10)
+            if not run.worker.runs:
+                return tenth / 10
+        raise AssertionError("the run is never lost")
+
+    def test_answered_start_is_over_with_its_lease(self):
+        cluster_state, _, run = send_start()
+        cluster_state.end_start_request(run, float("-inf"))
+        assert self.lost_at(cluster_state, run) < cluster_state.longest_lease_seconds + 0.2
+
+    # Guards against TWICE (review/6): the next process carries the start out after the lease.
+    def test_unanswered_start_is_open_for_longer_than_its_lease(self):
+        cluster_state, _, run = send_start()
+        longest = cluster_state.longest_lease_seconds + LONGEST_REQUEST_DELAY_SECONDS
+        assert longest <= self.lost_at(cluster_state, run) < longest + 0.2
+
+    def test_unanswered_start_is_over_with_its_lease_if_its_process_outlived_it(self):
+        cluster_state, _, run = send_start()
+        apply_report(cluster_state, run.worker, DELIVERY_SECONDS + 0.1)
+        assert self.lost_at(cluster_state, run) < cluster_state.longest_lease_seconds + 0.2
+
+    def test_unanswered_start_is_over_with_its_lease_while_its_process_is_listed(self):
+        cluster_state, _, run = send_start()
+        read_entries(cluster_state, -20.0, DELIVERY_SECONDS + ENTRY_SECONDS + 0.5)
+        assert self.lost_at(cluster_state, run) < cluster_state.longest_lease_seconds + 0.2
+
+    def test_listed_entries_tell_nothing_soon_after_an_outage(self):
+        cluster_state, _, run = send_start()
+        read_entries(cluster_state, 3.0, 7.0)
+        assert self.lost_at(cluster_state, run) > LONGEST_REQUEST_DELAY_SECONDS
+
+    def test_entry_of_another_process_tells_that_the_start_may_reach_it(self):
+        cluster_state, _, run = send_start()
+        read_entries(cluster_state, -20.0, 20.0)
+        cluster_state.register_worker(make_entry(run.worker.id, born=2), 0.5)
+        assert self.lost_at(cluster_state, run) > LONGEST_REQUEST_DELAY_SECONDS
+
+    def test_missing_entry_tells_nothing(self):
+        cluster_state, _, run = send_start()
+        read_entries(cluster_state, -20.0, 20.0)
+        cluster_state.deregister_worker(run.worker.id, 5.0)
+        assert self.lost_at(cluster_state, run) > LONGEST_REQUEST_DELAY_SECONDS
+
+
 class TestNextProcess:
     """A worker restarts under its id while the start of a run has no response."""
 
@@ -17,12 +94,51 @@
         planner = make_planner(cluster_state, make_job())
         (run,) = planner.plan(0.0, 0.0).starts
         run.start_deadline = 6000
+        cluster_state.begin_start_request(run, 0.0)
         apply_report(cluster_state, run.worker, 0.1)
         apply_report(cluster_state, run.worker, 0.5, born=2)
         assert run.worker.runs
-        run.reports_conclusive_after = 0.6
+        run.observe_stop(2, 0.6)
         apply_report(cluster_state, run.worker, 0.7, born=2)
         assert not run.worker.runs
         assert planner.plan(0.7, 0.7).starts == []
         cluster_state.confirm_losses(cluster_state.unconfirmed_losses)
         assert len(planner.plan(0.8, 0.8).starts) == 1
+
+    def test_deadline_is_by_the_clock_of_the_process_that_reports(self):
+        _, _, run = send_start()
+        early = WorkerReport(2, run.start_deadline, (), ())
+        assert judge_by_report(run, early, 1.0) is Conclusion.OPEN
+        late = WorkerReport(2, run.start_deadline + 1, (), ())
+        assert judge_by_report(run, late, 1.0) is Conclusion.ENDED_WITH_PROCESS
+
+    # Guards against TWICE: the next process has not answered the stop that the one before has.
+    def test_stop_binds_the_process_that_has_answered_it(self):
+        cluster_state, _, run = send_start()
+        cluster_state.mark_stopping(run)
+        run.observe_stop(1, 0.2)
+        apply_report(cluster_state, run.worker, 0.5, born=2)
+        assert run.worker.runs
+        assert list(cluster_state.mark_obsolete_runs()) == [run]
+        assert list(cluster_state.mark_obsolete_runs()) == []
+        run.observe_stop(2, 0.6)
+        apply_report(cluster_state, run.worker, 0.5, sent_at=0.55, born=2)
+        assert run.worker.runs
+        apply_report(cluster_state, run.worker, 0.7, born=2)
+        assert not run.worker.runs
+
+    def test_run_that_is_not_sent_yet_is_left_to_its_start(self):
+        cluster_state, _, run = send_start()
+        cluster_state.end_start_request(run, float("-inf"))
+        apply_report(cluster_state, run.worker, 0.5, born=2)
+        assert run.worker.runs
+
+    def test_late_starts_of_ended_runs_are_stopped_on_the_next_process(self):
+        cluster_state, _, run = send_start()
+        end = make_ended_run(1, run.task, RunOutcome.FAILED, run.attempt)
+        apply_report(cluster_state, run.worker, 0.5, ends=[end])
+        _, unknown = apply_report(cluster_state, run.worker, 1.0, born=2)
+        assert [(each.task, each.attempt) for each in unknown] == [run.key]
+        later = 1.0 + LONGEST_REQUEST_DELAY_SECONDS
+        _, unknown = apply_report(cluster_state, run.worker, later, born=3)
+        assert unknown == []
--- a/src/jaypier/jobs/tests/test_takeover_sequences.py
+++ b/src/jaypier/jobs/tests/test_takeover_sequences.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from jaypier.jobs.model import JobStatus
+import pytest
+
+from jaypier.jobs.evidence import LONGEST_REQUEST_DELAY_SECONDS
+from jaypier.jobs.leader import START_TIMEOUT_SECONDS
+from jaypier.jobs.model import Job, JobStatus
 from jaypier.jobs.tests.builders import LeaderHarness, make_job, make_step, run_scenario
 from jaypier.jobs.tests.cuts import (
     check_work_is_done_once,
@@ -275,3 +279,75 @@
             await harness.wait_status(job, JobStatus.COMPLETED, 60)
 
         run_scenario(scenario, workers=2)
+
+
+class TestLateStarts:
+    """A start without a response is carried out by the next process of its worker."""
+
+    @staticmethod
+    async def send_late_start(harness, job: Job, seconds: float) -> MemoryWorker:
+        """Submit a job whose start times out and is carried out late; return its worker."""
+        first, second = harness.cluster.workers.values()
+        harness.cluster.begin_draining(second)
+        await asyncio.sleep(34.0)
+        harness.cluster.delayed_starts, harness.cluster.delay_seconds = 1, seconds
+        harness.cluster.submit(job)
+        await harness.wait_until(lambda: harness.cluster.delayed_starts == 0, 2)
+        harness.cluster.end_draining(second)
+        return first
+
+    @staticmethod
+    async def restart_beyond_reach(harness, worker: MemoryWorker) -> None:
+        """Restart a worker that no VM reaches any more."""
+        worker.crash()
+        for name in harness.tasks:
+            cut_links(harness, name, [worker])
+        await asyncio.sleep(0.3)
+        worker.restart()
+
+    # Guards against TWICE (review/6): its deadline is by the clock of the process before.
+    @pytest.mark.parametrize("seconds", [7.0, 11.0, 23.0])
+    def test_task_does_not_start_elsewhere_while_a_silent_worker_may_carry_it_out(self, seconds):
+        async def scenario(harness):
+            harness.cluster.reaches_next_process = True
+            job = make_job(make_step(accelerators=8, seconds=5.0))
+            worker = await self.send_late_start(harness, job, seconds)
+            await self.restart_beyond_reach(harness, worker)
+            await harness.wait_until(lambda: bool(worker.active), seconds + 1.0)
+            harness.cluster.cut_links.clear()
+            await harness.wait_status(job, JobStatus.COMPLETED, 20)
+
+        run_scenario(scenario, workers=2)
+
+    def test_task_starts_elsewhere_if_the_worker_never_returns(self):
+        async def scenario(harness):
+            job = make_job(make_step(accelerators=8, seconds=5.0))
+            worker = await self.send_late_start(harness, job, 7.0)
+            leader = harness.leaders[harness.leader_name]
+            worker.crash()
+            harness.cluster.unregister(worker)
+            longest_wait = (
+                START_TIMEOUT_SECONDS + LONGEST_REQUEST_DELAY_SECONDS + leader.longest_run_seconds
+            )
+            await harness.wait_until(lambda: len(runs_of(harness, job)) == 1, longest_wait + 1.0)
+
+        run_scenario(scenario, workers=2)
+
+    # Guards against UNASKED and TWICE: a stop binds only the process that has answered it.
+    def test_stop_is_sent_again_to_the_next_process(self):
+        async def scenario(harness):
+            harness.cluster.reaches_next_process = True
+            job = make_job(make_step(accelerators=8, seconds=5.0))
+            worker = await self.send_late_start(harness, job, 6.0)
+            await asyncio.sleep(0.05)
+            harness.cluster.cancel(job.id)
+            await harness.wait_until(lambda: bool(worker.highest_attempts), 2)
+            await asyncio.sleep(0.5)
+            worker.crash()
+            await asyncio.sleep(0.3)
+            worker.restart()
+            await harness.wait_until(lambda: bool(worker.highest_attempts), 2)
+            await asyncio.sleep(5.0)
+            assert runs_of(harness, job) == []
+
+        run_scenario(scenario, workers=2)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -690,10 +690,15 @@
         raise WorkerUnreachable("no response in time")
 
     def execute_late(self, born: int, operation, arguments) -> None:
-        """Execute a request that has timed out, unless the worker has restarted since."""
-        if not self.worker.is_up or self.worker.entry.born != born:
+        """Execute a request that has timed out, unless the worker is down or has restarted since.
+
+        After a restart, the next process executes it if ``reaches_next_process`` is set.
+        """
+        is_same_process = self.worker.entry.born == born
+        is_lost = not is_same_process and not self.worker.cluster.reaches_next_process
+        if not self.worker.is_up or is_lost:
             return
-        if operation == self.worker.start:
+        if operation == self.worker.start and is_same_process:
             self.worker.pending_starts[(arguments[1].task, arguments[1].attempt)] -= 1
         self.worker.cluster.is_executing_late_request = True
         try:
@@ -809,6 +814,8 @@
     :ivar delayed_starts: number of next start requests that time out and are executed after
         ``delay_seconds``.
     :ivar delayed_stops: the same for stop requests.
+    :ivar reaches_next_process: whether a request that has timed out may still be under way when its
+        worker restarts, so that the next process executes it.
     :ivar lost_start_responses: number of next start requests that are executed without a response.
     :ivar answers_beside_pending_start: answers to a start request while an earlier one for the run
         has timed out and is still to be executed; none to execute it as usual.
@@ -848,6 +855,7 @@
         self.delayed_starts = 0
         self.delayed_stops = 0
         self.delay_seconds = 2.0
+        self.reaches_next_process = False
         self.lost_start_responses = 0
         self.answers_beside_pending_start: tuple[StartResponse, ...] = ()
 
