jobs: the report of a worker's next process reconciles it once the store confirms

Cause: the first report of a worker to a leader made it reconciled, also the empty one of a process that is newer than the one that earlier leaders had used. It tells nothing of what that one had done; rule 5 of docs/design/takeovers.md was applied to known runs only. The same held for a worker whose machine runs a process with another id, and for one that has to report again as a run of an unknown job was seen there.

Fix: a worker remembers the start of the process that others may have used (from its row, or the one that reported the unknown run). A report of a newer one, or of a successor, makes it reconciled once the store has confirmed a write that was sent later; ClusterState.reconcile is the only way.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -17,6 +17,7 @@
     LostRun,
     judge_by_report,
     judge_by_time,
+    judge_unknown_runs,
     late_starts,
 )
 from jaypier.jobs.freshness import EntryFreshness
@@ -158,11 +159,17 @@
         state.is_recovered = may_have_started or orphan is not None
         for worker_id in orphan.workers if orphan else ():
             if worker_id in self.workers:
-                worker = self.workers[worker_id]
-                worker.is_reconciled, worker.recorded_tasks = False, None
+                self.await_report(self.workers[worker_id])
         self.insert_job(state)
         return state
 
+    def await_report(self, worker: Worker) -> None:
+        """Require another report of a worker, whose last one lists runs of a job not known then."""
+        if worker.is_reconciled or worker.used_born is None:
+            worker.used_born = worker.born
+        worker.is_reconciled = worker.awaits_confirmation = False
+        worker.recorded_tasks = None
+
     def should_defer_orphan(self, job_id: str, worker: Worker, now: float) -> bool:
         """Record a report of an unknown job; return whether its row may still be read soon.
 
@@ -257,11 +264,15 @@
 
     # Workers
 
-    def restore_recorded_tasks(self, worker: Worker, tasks: frozenset[TaskId] | None) -> None:
+    def restore_recorded_tasks(
+        self, worker: Worker, born: int, tasks: frozenset[TaskId] | None
+    ) -> None:
         """Take over what the store records of the runs that earlier leaders left on a worker.
 
+        :param born: Unix time in milliseconds at which the process started that they used.
         :param tasks: the only tasks that may have one, ``None`` if any may.
         """
+        worker.used_born = born
         worker.recorded_tasks = tasks
         worker.awaits_record = tasks is not None
         for task_id in tasks or ():
@@ -317,6 +328,28 @@
         """Remove a worker that has no runs and will not come back."""
         self.workers.pop(worker.id, None)
 
+    def reconcile(self, worker: Worker, conclusion: Conclusion) -> None:
+        """Record that the runs of other leaders on a worker are known, or have ended.
+
+        After the end of its process, that holds once the store has confirmed a write that was sent
+        later: until then, a newer leader may have recorded how they ended.
+        """
+        if worker.is_reconciled or conclusion is Conclusion.OPEN:
+            return
+        worker.awaits_confirmation = conclusion is Conclusion.ENDED_WITH_PROCESS
+        worker.is_reconciled = not worker.awaits_confirmation
+
+    @property
+    def unconfirmed_workers(self) -> list[Worker]:
+        """Workers whose runs are known once the store has confirmed a write."""
+        return [worker for worker in self.workers.values() if worker.awaits_confirmation]
+
+    def confirm_workers(self, workers: Iterable[Worker]) -> None:
+        """Let workers be reconciled whose process had ended before a write that is confirmed."""
+        for worker in workers:
+            if worker.awaits_confirmation:
+                worker.awaits_confirmation, worker.is_reconciled = False, True
+
     def confirm_losses(self, tasks: Iterable[TaskState]) -> None:
         """Let tasks start again whose runs were lost before a write that is confirmed."""
         confirmed = {id(task) for task in tasks}
@@ -507,8 +540,8 @@
         worker.clock, worker.clock_read_at = report.clock, now
         worker.last_report_at = now
         worker.report_requested_at = max(worker.report_requested_at, sent_at)
-        worker.is_reconciled = True
-        worker.is_unreachable = False
+        self.reconcile(worker, judge_unknown_runs(worker, report.born))
+        worker.is_unreachable = worker.has_ended = False
         new_ends = list(
             itertools.takewhile(
                 lambda end: not self.should_defer_orphan(end.task.job_id, worker, now),
--- a/src/jaypier/jobs/crashes.py
+++ b/src/jaypier/jobs/crashes.py
@@ -271,11 +271,16 @@
         if not self.silent and not any(each.is_unreachable for each in workers.values()):
             return []
         newest = newest_by_machine(workers.values())
-        ended = [worker for worker in workers.values() if has_ended(worker, newest)]
+        ended = [
+            worker
+            for worker in workers.values()
+            if not worker.has_ended and has_ended(worker, newest)
+        ]
         for worker in ended:
             for run in list(worker.runs.values()):
                 self.cluster_state.settle_run(run, Conclusion.ENDED_WITH_PROCESS, "successor")
-            worker.is_reconciled = True
+            self.cluster_state.reconcile(worker, Conclusion.ENDED_WITH_PROCESS)
+            worker.has_ended = True
             if worker.entry.is_ready:
                 empty = SilentProcess(worker.entry.machine, worker.born, worker.silent_since)
                 self.record_crash(worker.id, self.silent.get(worker.id, empty))
@@ -292,7 +297,8 @@
         if not any(each.is_unreachable for each in workers.values()):
             return []
         newest = newest_by_machine(workers.values())
-        successors = (find_successor(each, newest) for each in workers.values())
+        silent = (each for each in workers.values() if not each.has_ended)
+        successors = (find_successor(each, newest) for each in silent)
         return [each for each in successors if each is not None]
 
     def record_crash(self, worker_id: str, process: SilentProcess) -> None:
--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -111,6 +111,31 @@
     return alive_at <= run.unanswered_at + DELIVERY_SECONDS
 
 
+def judge_unknown_runs(worker: Worker, born: int) -> Conclusion:
+    """Return what the report of a process shows of the runs that other leaders left on its worker.
+
+    :param born: Unix time in milliseconds at which the process started.
+    :returns: ``ENDED`` if it lists all that are left.
+    """
+    is_next = worker.used_born is not None and born > worker.used_born
+    return Conclusion.ENDED_WITH_PROCESS if is_next else Conclusion.ENDED
+
+
+def unknown_runs_end_at(worker: Worker, timeout_at: float, run_seconds: float) -> float:
+    """Return until when a silent worker may have runs of other leaders.
+
+    :param timeout_at: time on the local clock, in seconds, after which no run of an earlier leader
+        is active, unless another process than the one that it used carries out its start.
+    :param run_seconds: longest time for which a run goes on after the last extension of its lease.
+    :returns: time on the local clock, in seconds.
+    """
+    # A worker that has reported has runs of an unknown job and has to report again.
+    reported_runs_end_at = max(worker.last_report_at + run_seconds, worker.lease_expires_at)
+    ends_at = max(timeout_at, reported_runs_end_at)
+    has_restarted = worker.used_born is not None and worker.latest_born > worker.used_born
+    return ends_at + LONGEST_REQUEST_DELAY_SECONDS if has_restarted else ends_at
+
+
 def late_starts(worker: Worker, now: float) -> list[tuple[TaskId, int]]:
     """Return the runs on a worker of which a start request may still be under way.
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -17,7 +17,7 @@
 from jaypier.jobs.contained_planning import plan_with_failures
 from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
-from jaypier.jobs.evidence import late_starts
+from jaypier.jobs.evidence import Conclusion, late_starts, unknown_runs_end_at
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
 from jaypier.jobs.learned import LEARNED_KEY, LearnedState
 from jaypier.jobs.model import Job, StartRequest, StartResponse, TaskId, WorkerEntry
@@ -306,7 +306,7 @@
                 tasks=None if record.tasks is None else len(record.tasks),
             )
         worker = self.cluster_state.workers[worker_id]
-        self.cluster_state.restore_recorded_tasks(worker, record.tasks)
+        self.cluster_state.restore_recorded_tasks(worker, record.entry.born, record.tasks)
         self.progress_writer.saved_workers[worker_id] = SavedWorker.from_record(record)
         if worker.latest_born != record.entry.born:
             worker.awaits_record = True
@@ -680,11 +680,7 @@
         now, confirmed_at = self.clock.now(), self.writer.confirmed_at
         timeout_at = self.elected_at + self.reconcile_timeout_seconds
         for worker in self.cluster_state.unreconciled_workers:
-            # A worker that has reported has runs of an unknown job and has to report again.
-            lease_ends_at = max(
-                worker.last_report_at + self.longest_run_seconds, worker.lease_expires_at
-            )
-            ends_at = max(timeout_at, lease_ends_at)
+            ends_at = unknown_runs_end_at(worker, timeout_at, self.longest_run_seconds)
             is_unused = self.has_reconciled or worker.recorded_tasks == frozenset()
             is_new = (
                 worker.last_report_at == -math.inf
@@ -695,7 +691,7 @@
                 if now > ends_at:
                     self.progress_writer.request_confirmation()
                 continue
-            worker.is_reconciled = True
+            self.cluster_state.reconcile(worker, Conclusion.ENDED)
             worker.is_unreachable = True
             if not is_new:
                 log.info(
@@ -740,8 +736,7 @@
             self.cluster_state.open_due_occurrences(self.wall_clock())
             for worker in self.cluster_state.crashes.settle_ended_processes():
                 self.authority.observe_process(worker.id, worker.latest_born)
-                self.drop_worker(worker)
-            if self.cluster_state.unconfirmed_losses:
+            if self.cluster_state.unconfirmed_losses or self.cluster_state.unconfirmed_workers:
                 self.progress_writer.write_requested.set()
             for worker in self.cluster_state.crashes.unheard_successors():
                 self.sessions[worker.id].request_report()
@@ -754,7 +749,8 @@
             for worker in list(self.cluster_state.workers.values()):
                 has_ended = self.writer.confirmed_at > worker.lease_expires_at
                 is_unused = not worker.runs and not late_starts(worker, now)
-                if not worker.is_registered and is_unused and has_ended:
+                is_gone = not worker.is_registered and is_unused and has_ended
+                if is_gone or worker.has_ended:
                     self.drop_worker(worker)
             self.scheduling_requested.set()
 
--- a/src/jaypier/jobs/progress_writer.py
+++ b/src/jaypier/jobs/progress_writer.py
@@ -124,8 +124,9 @@
         current, worker_puts, deletes = self.worker_changes(row_limit)
         puts += worker_puts + self.witness_puts(current)
         losses = list(leader.cluster_state.unconfirmed_losses)
+        reconciled = leader.cluster_state.unconfirmed_workers
         is_confirmation_due = bool(
-            self.is_confirmation_requested or leader.unconfirmed_jobs or losses
+            self.is_confirmation_requested or leader.unconfirmed_jobs or losses or reconciled
         )
         self.is_confirmation_requested = False
         renew = self.leader.writer.seconds_to_renewal() <= 0.0
@@ -134,6 +135,7 @@
             left_out = await leader.writer.write(puts, deletes, renew)
             leader.witnesses.end_change(WITNESSES_KEY not in left_out)
             leader.cluster_state.confirm_losses(losses)
+            leader.cluster_state.confirm_workers(reconciled)
             current = self.without_left_out(current, left_out)
         self.apply_saved_workers(current)
         self.confirm_jobs()
@@ -146,7 +148,7 @@
             leader.cluster_state.jobs[job_id].ended_at = leader.clock.now()
         if covers_all:
             self.acknowledge_ends(processed)
-        if losses:
+        if losses or reconciled:
             leader.scheduling_requested.set()
         if leader.cluster_state.dirty_jobs or leader.cluster_state.unconfirmed_losses:
             self.write_requested.set()
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -175,7 +175,7 @@
             )
         for run in unknown:
             leader.stop_unknown_run(run)
-        if ends or leader.cluster_state.unconfirmed_losses:
+        if ends or leader.cluster_state.unconfirmed_losses or worker.awaits_confirmation:
             leader.progress_writer.write_requested.set()
         has_more_room = (
             releases != leader.cluster_state.release_count
@@ -210,7 +210,8 @@
         worker = self.worker
         is_acknowledged = self.last_acknowledged >= worker.last_durable_end
         is_running = worker.runs or worker.has_unknown_runs
-        return worker.is_reconciled and not is_running and is_acknowledged
+        has_told_all = worker.is_reconciled or worker.awaits_confirmation
+        return has_told_all and not is_running and is_acknowledged
 
     async def wait_for_wake(self, seconds: float) -> None:
         """Wait for a wake-up, for at most ``seconds``."""
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -388,6 +388,10 @@
         deregistered.
     :param is_reconciled: whether its runs are known to the current leader: it has reported, or the
         leader has stopped waiting for it.
+    :param awaits_confirmation: whether its runs would be known if the store confirmed a write: what
+        earlier leaders left on it has ended with its process.
+    :param used_born: Unix time in milliseconds at which the newest process started on which other
+        leaders may have left runs, ``None`` if there is none.
     :param awaits_record: whether the store has to record that tasks may start on it before any
         does.
     :param recorded_tasks: the only tasks of which earlier leaders may have left runs on it, by the
@@ -417,6 +421,7 @@
     :param drain_deadline: time on the local clock, in seconds, from which a draining worker may be
         gone, ``inf`` for one that is not draining.
     :param is_unreachable: whether the newest request to the worker failed.
+    :param has_ended: whether its process has ended and will not be followed by one under its id.
     :param has_unknown_runs: whether the newest report listed active runs that are not in ``runs``.
         They hold capacity until they have ended.
     :param silent_since: time on the local clock, in seconds, at which a request to it first failed
@@ -433,6 +438,8 @@
     is_registered: bool = True
     deregistered_at: float = -math.inf
     is_reconciled: bool = False
+    awaits_confirmation: bool = False
+    used_born: int | None = None
     awaits_record: bool = False
     recorded_tasks: frozenset[TaskId] | None = None
     born: int = 0
@@ -451,6 +458,7 @@
     suspected_until: float = -math.inf
     drain_deadline: float = math.inf
     is_unreachable: bool = False
+    has_ended: bool = False
     has_unknown_runs: bool = False
     silent_since: float = -math.inf
     unanswered_starts: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
--- a/src/jaypier/jobs/tests/test_evidence.py
+++ b/src/jaypier/jobs/tests/test_evidence.py
@@ -5,11 +5,13 @@
     LONGEST_REQUEST_DELAY_SECONDS,
     Conclusion,
     judge_by_report,
+    unknown_runs_end_at,
 )
 from jaypier.jobs.freshness import ENTRY_SECONDS
-from jaypier.jobs.model import RunOutcome, WorkerReport
+from jaypier.jobs.model import RunOutcome, TaskId, WorkerReport
 from jaypier.jobs.tests.builders import (
     apply_report,
+    make_active_run,
     make_cluster_state,
     make_ended_run,
     make_entry,
@@ -142,3 +144,66 @@
         later = 1.0 + LONGEST_REQUEST_DELAY_SECONDS
         _, unknown = apply_report(cluster_state, run.worker, later, born=3)
         assert unknown == []
+
+
+class TestUnknownRuns:
+    """Runs that other leaders have left on a worker."""
+
+    def make_silent(self, born: int, recorded: int | None):
+        """Return a new leader's state with a worker that has not reported."""
+        cluster_state = make_cluster_state(0, epoch=2)
+        worker = cluster_state.register_worker(make_entry("worker-00", born=born), 0.0)
+        if recorded is None:
+            worker.recorded_tasks = frozenset()
+        else:
+            cluster_state.restore_recorded_tasks(worker, recorded, None)
+        return cluster_state, worker
+
+    def test_report_of_the_recorded_process_lists_them(self):
+        cluster_state, worker = self.make_silent(1, 1)
+        apply_report(cluster_state, worker, 1.0)
+        assert worker.is_reconciled
+
+    def test_first_report_of_a_worker_that_no_leader_has_used_is_enough(self):
+        cluster_state, worker = self.make_silent(2, None)
+        apply_report(cluster_state, worker, 1.0, born=2)
+        assert worker.is_reconciled
+
+    # Guards against TWICE: a newer leader may have recorded how they ended.
+    def test_report_of_the_next_process_shows_nothing_before_the_store_has_confirmed_a_write(self):
+        cluster_state, worker = self.make_silent(1, 1)
+        apply_report(cluster_state, worker, 1.0, born=2)
+        apply_report(cluster_state, worker, 2.0, born=2)
+        assert not worker.is_reconciled
+        cluster_state.confirm_workers(cluster_state.unconfirmed_workers)
+        assert worker.is_reconciled
+
+    def test_successor_shows_nothing_before_the_store_has_confirmed_a_write(self):
+        cluster_state, worker = self.make_silent(1, 1)
+        machine = {"machine": "machine-0"}
+        cluster_state.register_worker(make_entry("worker-00", **machine), 0.0)
+        worker.is_unreachable, worker.silent_since = True, 0.5
+        successor = cluster_state.register_worker(make_entry("worker-01", born=5, **machine), 1.0)
+        apply_report(cluster_state, successor, 1.0, born=5)
+        assert cluster_state.crashes.settle_ended_processes() == [worker]
+        assert cluster_state.crashes.settle_ended_processes() == []
+        assert not worker.is_reconciled
+        cluster_state.confirm_workers(cluster_state.unconfirmed_workers)
+        assert worker.is_reconciled
+
+    def test_worker_that_reported_a_run_of_an_unknown_job_has_to_report_it_again(self):
+        cluster_state, worker = self.make_silent(1, 1)
+        job = make_job()
+        run = make_active_run(TaskId(job.id, 0, 0, 0))
+        apply_report(cluster_state, worker, 1.0, [run])
+        cluster_state.add_job(job)
+        apply_report(cluster_state, worker, 1.5, born=2)
+        assert not worker.is_reconciled
+        cluster_state.confirm_workers(cluster_state.unconfirmed_workers)
+        assert worker.is_reconciled
+
+    def test_silent_worker_that_has_restarted_is_waited_for_longer(self):
+        _, worker = self.make_silent(1, 1)
+        _, restarted = self.make_silent(2, 1)
+        assert unknown_runs_end_at(worker, 10.0, 6.5) == 10.0
+        assert unknown_runs_end_at(restarted, 10.0, 6.5) == 10.0 + LONGEST_REQUEST_DELAY_SECONDS
--- a/src/jaypier/jobs/tests/test_takeover_sequences.py
+++ b/src/jaypier/jobs/tests/test_takeover_sequences.py
@@ -351,3 +351,55 @@
             assert runs_of(harness, job) == []
 
         run_scenario(scenario, workers=2)
+
+
+class TestUnreportedRuns:
+    """A worker reports to an earlier leader for the first time, after a newer one has heard it."""
+
+    # Guards against TWICE: its next process lists no run, which was taken for all that it had run.
+    @pytest.mark.parametrize("restarts", [False, True])
+    def test_task_that_the_newer_leader_has_recorded_as_done_is_not_started_again(self, restarts):
+        async def scenario(harness):
+            job = make_job(make_step(accelerators=8, seconds=14.0))
+            await harness.start_job(job, 1, 8)
+            await asyncio.sleep(2.0)
+            (busy,), others = (pick_workers(harness, is_busy=each) for each in (True, False))
+            harness.start_daemon("vm-c")
+            await asyncio.sleep(1.0)
+            first = harness.leader_name
+            second, third = sorted(harness.tasks.keys() - {first})
+            cut_links(harness, second, [busy])
+            await harness.kill(third)
+            await harness.kill(first)
+            await harness.wait_until(lambda: harness.leader_name == second, 20)
+            await asyncio.sleep(1.5)
+            harness.store.unreachable_vms.add(second)
+            cut_links(harness, third, others)
+            harness.start_daemon(third)
+            await harness.wait_until(lambda: third in harness.leaders, 20)
+            await harness.wait_status(job, JobStatus.COMPLETED, 30)
+            if restarts:
+                busy.crash()
+                await asyncio.sleep(0.3)
+                harness.cluster.cut_links.discard((second, busy.entry.id))
+                cut_links(harness, third, [busy])
+                busy.restart()
+            await asyncio.sleep(25.0)
+            assert len(runs_of(harness, job)) == 1
+
+        run_scenario(scenario, workers=6)
+
+    def test_task_of_a_worker_that_restarts_at_a_takeover_starts_soon(self):
+        async def scenario(harness):
+            job = make_job(make_step(accelerators=8, seconds=14.0))
+            await harness.start_job(job, 1, 8)
+            await asyncio.sleep(2.0)
+            (busy,) = pick_workers(harness, is_busy=True)
+            old = harness.leader_name
+            await harness.kill(old)
+            busy.crash()
+            busy.restart()
+            await take_over(harness, old)
+            await harness.wait_until(lambda: len(runs_of(harness, job)) == 2, 0.5)
+
+        run_scenario(scenario, workers=6)
