jobs: a gang's second attempt is stopped once the first is known to be done

What callers saw: accelerators used by a second run of a gang that was done; the check of the fuzz called it a start after the task was completed (seeds 70279 and 72090, three features together).

Cause: no run of a gang that is done was stopped, as its members end together. That holds for the attempt that has succeeded. If its end is learned late (its worker was silent for longer than the lease), another attempt is being started: the tries went on, 0.69 s after the end was read in seed 70279 and 0.06 s in 72090.

Fix: a step remembers the attempt that has succeeded; runs of other attempts are obsolete.

Measured: the new test in test_cluster_state.py failed before (no run was stopped).

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -686,6 +686,7 @@
             worker.last_success_at = now
             worker.avoid_until = -math.inf
             worker.clear_suspicion()
+            step.done_attempt = end.attempt
             self.finish_task(step, task)
         elif end.outcome is RunOutcome.FAILED:
             self.fail_task(worker, step, task, end.attempt, now)
@@ -813,12 +814,12 @@
                     yield run
 
     def is_obsolete(self, run: Run) -> bool:
-        """Whether a run is no longer needed; runs of a gang that is done end by themselves."""
+        """Whether a run is no longer needed; runs of the attempt that is done end by themselves."""
         step = run.step
         if run.is_beside_next_process:
             return True
         if step.spec.is_gang and step.is_done:
-            return False
+            return run.attempt != step.done_attempt
         if step.job.status.is_final or step.tasks[run.task.index].is_done:
             return True
         return step.is_tearing_down
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -189,6 +189,7 @@
     :param tasks: state of its tasks, by index.
     :param occurrence: number of the occurrence.
     :param failed_attempts: attempts of a gang in which any task failed.
+    :param done_attempt: attempt of a gang that has succeeded, 0 if none is known.
     :param is_tearing_down: whether the remaining runs of a gang's current attempt are being
         stopped.
     :param expected_seconds: expected duration of one task on a worker of speed 1: the caller's
@@ -201,6 +202,7 @@
     tasks: list[TaskState]
     occurrence: int = 0
     failed_attempts: set[int] = attrs.field(factory=set)
+    done_attempt: int = 0
     is_tearing_down: bool = False
     expected_seconds: float = attrs.field(
         default=attrs.Factory(lambda self: self.spec.estimated_seconds, takes_self=True)
--- a/src/jaypier/jobs/tests/test_cluster_state.py
+++ b/src/jaypier/jobs/tests/test_cluster_state.py
@@ -224,6 +224,23 @@
         assert cluster_state.jobs[job.id].status is JobStatus.COMPLETED
         assert list(cluster_state.mark_obsolete_runs()) == []
 
+    def test_second_attempt_of_a_gang_is_stopped_once_the_first_is_known_to_be_done(self):
+        # Guards against work done twice: the end of the first came after its worker was silent.
+        cluster_state = make_cluster_state(4)
+        job = make_job(make_step(count=2, accelerators=8, is_gang=True))
+        planner = make_planner(cluster_state, job)
+        first, second = planner.plan(0.0, 0.0).starts
+        for run in (first, second):
+            cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+            cluster_state.extend_lease(run.worker, 0.1)
+            run.worker.is_unreachable = True
+        cluster_state.expire_leases(10.0)
+        runs = planner.plan(10.0, 10.0).starts
+        assert {run.attempt for run in runs} == {2}
+        end = make_ended_run(1, first.task, RunOutcome.DONE, first.attempt)
+        apply_report(cluster_state, first.worker, 10.1, ends=[end])
+        assert list(cluster_state.mark_obsolete_runs()) == runs
+
     def test_gang_restarts_after_all_its_runs_have_ended(self):
         cluster_state = make_cluster_state(2)
         job = make_job(make_step(count=2, accelerators=8, is_gang=True))
--- a/src/jaypier/jobs/tests/test_fuzz.py
+++ b/src/jaypier/jobs/tests/test_fuzz.py
@@ -64,10 +64,11 @@
 """Seeds that add to schedules, operators and random faults unclear starts, long cuts and workers
 that are cut off, all together."""
 
-COMBINED_REGRESSION_SEEDS = (40571, 40579, 40635)
+COMBINED_REGRESSION_SEEDS = (40571, 40579, 40635, 70279, 72090)
 """Seeds outside this range that failed before: a leader that had been replaced started tasks that
 the next one had recorded as done (40571), or a task started elsewhere before the next process of
-its silent worker carried out the first start (40579, 40635)."""
+its silent worker carried out the first start (40579, 40635), or the start of a gang went on after
+an earlier attempt was known to be done (70279, 72090)."""
 
 CLOCK_ERROR_SECONDS = 2.0
 """Largest error of a VM's clock: the size of the clock steps in ``deploy/days``."""
