jobs: a start that the next process may have answered is not over with its lease

Cause: a start can be answered by a process that has restarted, before the leader has read its entry. The end of the lease was recorded as of the grant; that process counts the longest lease from the receipt, up to 1.5 s later, as the deadline is by the clock of the one before. A renewal that it carries out late extends it further.

Fix: the record of the lease counts from the response to the start.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -617,7 +617,7 @@
                 return False
         elif not run.is_confirmed:
             run.is_on_probation = True
-        run.is_confirmed = True
+        run.is_confirmed = run.is_listed = True
         run.born = born
         run.reports_conclusive_after = min(run.reports_conclusive_after, sent_at)
         if active.percent > run.percent or run.last_progress_at == math.inf:
@@ -792,6 +792,9 @@
             run.is_on_probation = run.is_on_probation or not run.is_confirmed
             run.is_confirmed = True
             run.reports_conclusive_after = now
+            # A process that has restarted counts the longest lease from when it was told to start.
+            lease_expires_at = now + self.longest_lease_seconds
+            run.worker.lease_expires_at = max(run.worker.lease_expires_at, lease_expires_at)
             return verdict
         if response is StartResponse.UNHEALTHY:
             self.avoid_worker(run.worker, now)
--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -92,17 +92,17 @@
 
 
 def may_reach_next_process(run: Run, listed_alive_at: float) -> bool:
-    """Whether another process than the run's may have received a start without a response.
+    """Whether another process than the run's may have received a start request.
 
-    None has if the run's process was still alive when the request had been delivered: the next one
-    holds nothing of what the one before has received.
+    If it had no response, none has if the run's process was still alive when the request had been
+    delivered: the next one holds nothing of what the one before has received.
 
     :param listed_alive_at: time on the local clock, in seconds, at which all processes were alive
         whose entries are listed.
     """
-    if run.unanswered_at == -math.inf:
-        return False
     worker = run.worker
+    if run.unanswered_at == -math.inf:
+        return run.is_confirmed and not run.is_listed and worker.latest_born > run.born
     is_listed = worker.is_registered and worker.latest_born == worker.entry.born == run.born
     alive_at = max(
         listed_alive_at if is_listed else -math.inf,
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -50,6 +50,7 @@
         answered a stop request, 0 if none has.
     :param stop_answered_at: time on the local clock, in seconds, of that answer.
     :param is_confirmed: whether the worker has confirmed that the run started.
+    :param is_listed: whether a report has listed it, so that its process is known.
     :param is_on_probation: whether a crash of the worker would be attributed to the run, among
         others: this leader has started it, and it has not worked for long.
     :param is_timed: whether ``now - started_at`` is its duration when it succeeds: this leader has
@@ -78,6 +79,7 @@
     stop_answered_by: int = 0
     stop_answered_at: float = math.inf
     is_confirmed: bool = False
+    is_listed: bool = False
     is_on_probation: bool = False
     is_timed: bool = False
     is_stopping: bool = False
--- a/src/jaypier/jobs/tests/test_evidence.py
+++ b/src/jaypier/jobs/tests/test_evidence.py
@@ -8,7 +8,7 @@
     unknown_runs_end_at,
 )
 from jaypier.jobs.freshness import ENTRY_SECONDS
-from jaypier.jobs.model import RunOutcome, TaskId, WorkerReport
+from jaypier.jobs.model import RunOutcome, StartResponse, TaskId, WorkerReport
 from jaypier.jobs.tests.builders import (
     apply_report,
     make_active_run,
@@ -53,6 +53,27 @@
         cluster_state.end_start_request(run, float("-inf"))
         assert self.lost_at(cluster_state, run) < cluster_state.longest_lease_seconds + 0.2
 
+    # Guards against TWICE: a process that had restarted was told to start the run, and renews late.
+    def test_answered_start_is_open_for_longer_if_the_next_process_may_have_answered(self):
+        cluster_state, _, run = send_start()
+        cluster_state.end_start_request(run, float("-inf"))
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+        cluster_state.register_worker(make_entry(run.worker.id, born=2), 0.5)
+        assert self.lost_at(cluster_state, run) > LONGEST_REQUEST_DELAY_SECONDS
+
+    def test_listed_run_is_over_with_its_lease_although_its_worker_has_restarted(self):
+        cluster_state, _, run = send_start()
+        cluster_state.end_start_request(run, float("-inf"))
+        apply_report(cluster_state, run.worker, 0.1, [make_active_run(run.task)])
+        cluster_state.register_worker(make_entry(run.worker.id, born=2), 0.5)
+        assert self.lost_at(cluster_state, run) < cluster_state.longest_lease_seconds + 0.2
+
+    def test_lease_counts_from_the_response_to_the_start(self):
+        cluster_state, _, run = send_start()
+        cluster_state.end_start_request(run, float("-inf"))
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 1.4)
+        assert self.lost_at(cluster_state, run) > 1.4 + cluster_state.longest_lease_seconds
+
     # Guards against TWICE (review/6): the next process carries the start out after the lease.
     def test_unanswered_start_is_open_for_longer_than_its_lease(self):
         cluster_state, _, run = send_start()
