jobs: a start request that was never sent holds its task no longer

Cause: a refused or timed out connection counted as a start without a response, although nothing was sent on it. The transport knows the difference (TransportError.sent); the link dropped it.

Change: WorkerUnreachable tells whether the request may have arrived. A run none of whose requests was sent is released at once after the last try, and tells nothing of later responses.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -791,7 +791,8 @@
         """Send the start request of a run, retrying until the worker has responded.
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead; so it is
-        after a refusal that does not prove that the run will not start.
+        after a refusal that does not prove that the run will not start. No stop is needed if no
+        connection could be established.
 
         The start is withdrawn if the worker's capacity shrinks below its runs in the meantime or
         is no longer known, if the worker has restarted, or if another daemon may lead.
@@ -830,18 +831,20 @@
             if worker.runs.get(run.key) is not run:
                 return
             if run.is_stopping:
-                if tries == 1:
+                if not run.is_sent:
                     self.release_unsent_run(run, "run stopped before its start was sent")
                 return
             obstacle = self.find_start_obstacle(worker, born)
             if obstacle:
-                self.withdraw_start(run, obstacle, is_sent=tries > 1)
+                self.withdraw_start(run, obstacle)
                 return
             sent_at = self.clock.now()
             earlier = self.cluster_state.begin_start_request(run, sent_at)
             try:
                 response = await session.link.start(self.epoch, request)
             except WorkerUnreachable as error:
+                if not error.was_sent:
+                    self.cluster_state.end_start_request(run, earlier)
                 now = self.clock.now()
                 if now - run.started_at > START_TIMEOUT_SECONDS:
                     log.info(
@@ -849,8 +852,9 @@
                         task=str(run.task),
                         worker=worker.id,
                         tries=tries,
+                        sent=run.is_sent,
                     )
-                    self.give_up_start(run, f"start response not received: {error}")
+                    self.withdraw_start(run, f"start response not received: {error}")
                     return
                 await asyncio.sleep(max(0.0, sent_at + seconds_until_next_try(tries) - now))
                 continue
@@ -899,13 +903,12 @@
             return "worker restarted"
         return "" if self.authority.find_basis(now) else "another daemon may lead"
 
-    def withdraw_start(self, run: Run, reason: str, is_sent: bool) -> None:
+    def withdraw_start(self, run: Run, reason: str) -> None:
         """Release a run that is not to start any more; stop it if it may have started.
 
         :param reason: reason for the log.
-        :param is_sent: whether its start request has been sent.
         """
-        if is_sent:
+        if run.is_sent:
             self.give_up_start(run, reason)
             return
         self.release_unsent_run(run, reason)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -16,6 +16,7 @@
 from jaypier.jobs.rows import JobTable, job_key
 from jaypier.jobs.starts import INITIAL_START_RETRY_SECONDS
 from jaypier.jobs.tests.builders import make_job, make_step, run_scenario
+from jaypier.jobs.tests.cuts import cut_links
 from jaypier.jobs.witnesses import REPORT_MAX_AGE_SECONDS
 from jaypier.jobs.worker_interface import WorkerUnreachable
 from jaypier.platform import Put, Transaction
@@ -622,6 +623,23 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_run_is_released_without_a_stop_if_no_connection_could_be_established(self):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            (worker,) = harness.cluster.workers.values()
+            worker.refuses_when_cut_off = True
+            cut_links(harness, harness.leader_name, [worker])
+            harness.cluster.submit(make_job(make_step(seconds=60.0)))
+            leader = harness.leaders[harness.leader_name]
+            (known,) = leader.cluster_state.workers.values()
+            await harness.wait_until(lambda: bool(known.runs), 1)
+            await asyncio.sleep(START_TIMEOUT_SECONDS + 0.5)
+            assert not known.runs
+            assert leader.metrics.counters["leader.runs_lost"] == 0
+
+        run_scenario(scenario, workers=1)
+
 
 class TestPreemption:
     def test_run_that_is_preempted_before_its_start_is_sent_frees_its_worker_at_once(self):
--- a/src/jaypier/jobs/worker_interface.py
+++ b/src/jaypier/jobs/worker_interface.py
@@ -13,7 +13,15 @@
 
 
 class WorkerUnreachable(JaypierError):
-    """A worker sent no usable response; it may still carry out the request later."""
+    """A worker sent no usable response.
+
+    :param was_sent: whether any byte of the request may have reached the worker, which may then
+        still carry it out later. If not, it has no effect.
+    """
+
+    def __init__(self, message: str, was_sent: bool = True) -> None:
+        super().__init__(message)
+        self.was_sent = was_sent
 
 
 class StaleEpoch(JaypierError):
--- a/src/jaypier/platform/tests/test_workers.py
+++ b/src/jaypier/platform/tests/test_workers.py
@@ -10,6 +10,7 @@
 from jaypier.platform.decoding import LeftOutRows
 from jaypier.platform.model import Changes, Row
 from jaypier.platform.workers import HttpWorkerLink, decode_listing, decode_worker
+from jaypier.wire.errors import ConnectError, ExchangeTimeout
 from jaypier.wire.messages import HttpResponse
 
 ENTRY = {
@@ -237,3 +238,22 @@
     def test_response_that_tells_nothing_counts_as_none(self, status, body):
         with pytest.raises(WorkerUnreachable):
             self.start(status, body)
+
+    @pytest.mark.parametrize(
+        ("error", "was_sent"),
+        [(ConnectError("refused"), False), (ExchangeTimeout("no answer", sent=True), True)],
+    )
+    def test_error_tells_whether_the_request_may_have_arrived(self, error, was_sent):
+        async def start() -> None:
+            link = HttpWorkerLink("worker-00", Address("127.0.0.1", 1))
+
+            async def exchange(request, timeout):
+                raise error
+
+            link.pool.exchange = exchange
+            task = TaskId("0123456789abcdef", 0, 0, 0)
+            await link.start(1, StartRequest(task, 1, "work", "", 6000))
+
+        with pytest.raises(WorkerUnreachable) as raised:
+            asyncio.run(start())
+        assert raised.value.was_sent is was_sent
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -239,7 +239,7 @@
         try:
             return await self.pool.exchange(request, timeout)
         except TransportError as error:
-            raise WorkerUnreachable(str(error)) from error
+            raise WorkerUnreachable(str(error), was_sent=error.sent) from error
 
 
 def _decode_body(response: HttpResponse) -> dict[str, Any]:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -664,7 +664,7 @@
         await asyncio.sleep(WORKER_REQUEST_ROUND_TRIP_SECONDS / 2)
         if not self.is_reachable:
             if self.worker.refuses_when_cut_off and not self.is_connected:
-                raise WorkerUnreachable("connection refused")
+                raise WorkerUnreachable("connection refused", was_sent=False)
             await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
             raise WorkerUnreachable("no response in time")
         if self.worker.cluster.rng.random() < self.worker.late_request_probability:
