jobs: a start is sent only to a worker that has reported recently

Cause: a start went to idle workers whose last report was up to 60 s old, and was repeated for 1.5 s while there was no response.

Change: a try is sent within 1.5 s of the worker's last report, and after a try without a response only once the worker has reported again. If needed, the worker is polled at once; a long poll in progress is ended early. A worker that does not answer that poll gets no start, and the task is placed elsewhere at once.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -36,7 +36,11 @@
     restore_jobs,
 )
 from jaypier.jobs.session import WorkerSession
-from jaypier.jobs.starts import StartVerdict, seconds_until_next_try
+from jaypier.jobs.starts import (
+    START_REPORT_MAX_AGE_SECONDS,
+    StartVerdict,
+    seconds_until_next_try,
+)
 from jaypier.jobs.state import JobState, Run, Worker
 from jaypier.jobs.stragglers import mark_straggler_runs
 from jaypier.jobs.stranding_log import StrandingLog
@@ -811,7 +815,6 @@
             self.release_unsent_run(run, "another daemon may lead")
             return
         run.start_deadline = deadline
-        session.wake_event.set()
         state, born = run.step.job, worker.latest_born
         if not state.spec.is_repeatable or state.crash_suspects:
             is_recorded = await self.progress_writer.wait_until_start_recorded(
@@ -825,20 +828,27 @@
                 )
                 return
             run.start_deadline = deadline
-        task = run.step.tasks[run.task.index]
-        request = StartRequest(run.task, run.attempt, state.spec.payload, task.checkpoint, deadline)
+        last_try_at = -math.inf
         for tries in itertools.count(1):
+            seconds = max(0.0, run.started_at + START_TIMEOUT_SECONDS - self.clock.now())
+            after = max(self.clock.now() - START_REPORT_MAX_AGE_SECONDS, last_try_at)
+            has_reported = await session.wait_for_report(after, seconds)
             if worker.runs.get(run.key) is not run:
                 return
             if run.is_stopping:
                 if not run.is_sent:
                     self.release_unsent_run(run, "run stopped before its start was sent")
                 return
-            obstacle = self.find_start_obstacle(worker, born)
+            obstacle = self.find_start_obstacle(worker, born, has_reported)
             if obstacle:
                 self.withdraw_start(run, obstacle)
                 return
-            sent_at = self.clock.now()
+            task = run.step.tasks[run.task.index]
+            request = StartRequest(
+                run.task, run.attempt, state.spec.payload, task.checkpoint, run.start_deadline
+            )
+            session.wake_event.set()
+            sent_at = last_try_at = self.clock.now()
             earlier = self.cluster_state.begin_start_request(run, sent_at)
             try:
                 response = await session.link.start(self.epoch, request)
@@ -888,15 +898,19 @@
         if verdict is not StartVerdict.RUNNING:
             self.scheduling_requested.set()
 
-    def find_start_obstacle(self, worker: Worker, born: int) -> str:
+    def find_start_obstacle(self, worker: Worker, born: int, has_reported: bool) -> str:
         """Return why no start request may be sent to a worker any more, empty if it may.
 
         A process that has restarted, or one that is called after a pause of this leader, may not
         know the epoch of a newer one.
 
         :param born: Unix time in milliseconds at which the process started that was chosen.
+        :param has_reported: whether it has reported recently, and since the last start request
+            without a response.
         """
         now = self.clock.now()
+        if not has_reported:
+            return "worker does not report"
         if worker.is_overcommitted or not self.cluster_state.is_capacity_known(worker, now):
             return "worker overcommitted or its capacity unknown"
         if worker.latest_born != born:
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -7,7 +7,7 @@
 import structlog
 
 from jaypier.jobs.fenced_writer import LeadershipLost
-from jaypier.jobs.model import TaskId
+from jaypier.jobs.model import TaskId, WorkerReport
 from jaypier.jobs.state import Worker
 from jaypier.jobs.worker_interface import (
     StaleEpoch,
@@ -50,6 +50,8 @@
 
     :ivar is_report_requested: whether the worker is to be polled even if it is idle.
     :ivar wake_event: set when the worker is to be polled before its regular time.
+    :ivar poll_ended: notified when a poll had a response or has failed.
+    :ivar long_poll: the long poll in progress, if any.
     :ivar last_acknowledged: number of the last ended run that the worker may have forgotten.
     """
 
@@ -59,6 +61,8 @@
         self.link = leader.open_link(worker.entry)
         self.address = worker.entry.address
         self.wake_event = asyncio.Event()
+        self.poll_ended = asyncio.Event()
+        self.long_poll: asyncio.Timeout | None = None
         self.is_report_requested = False
         self.last_acknowledged = 0
         self.is_closed = False
@@ -74,6 +78,26 @@
         self.is_report_requested = True
         self.wake_event.set()
 
+    async def wait_for_report(self, after: float, seconds: float) -> bool:
+        """Have the worker polled, unless it has reported since a time; return whether it has.
+
+        A long poll in progress is ended early.
+
+        :param after: time on the local clock, in seconds.
+        :param seconds: longest wait.
+        """
+        worker = self.worker
+        try:
+            async with asyncio.timeout(seconds):
+                while worker.last_report_at <= after and not worker.is_unreachable:
+                    self.request_report()
+                    if self.long_poll is not None:
+                        self.long_poll.reschedule(asyncio.get_running_loop().time())
+                    await self.poll_ended.wait()
+        except TimeoutError:
+            return False
+        return worker.last_report_at > after
+
     async def run(self) -> None:
         """Renew the lease and apply reports until the session is closed.
 
@@ -113,11 +137,17 @@
             if leader.cluster_state.dirty_jobs:
                 leader.progress_writer.write_requested.set()
         worker.is_unreachable = True
+        self.notify_poll_ended()
         leader.metrics.count("leader.workers_unreachable")
         if worker.entry.address != self.address:
             self.link.close()
             self.link, self.address = leader.open_link(worker.entry), worker.entry.address
 
+    def notify_poll_ended(self) -> None:
+        """Wake those that wait for a report."""
+        self.poll_ended.set()
+        self.poll_ended.clear()
+
     def number_to_acknowledge(self, now: float) -> int:
         """Return up to which number the worker may forget its ended runs, 0 for none.
 
@@ -140,20 +170,20 @@
         """Renew the lease once and apply the report."""
         worker, leader = self.worker, self.leader
         self.wake_event.clear()
-        self.is_report_requested = False
+        is_requested, self.is_report_requested = self.is_report_requested, False
         sent_at = leader.clock.now()
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
         if worker.is_reconciled and worker.runs and not worker.is_unreachable:
             deadline = leader.authority.grant_lease(worker, sent_at)
         is_waiting_for_end = deadline is not None or worker.has_unknown_runs
-        wait = LONG_POLL_SECONDS if is_waiting_for_end else 0.0
+        wait = LONG_POLL_SECONDS if is_waiting_for_end and not is_requested else 0.0
         if worker.last_processed_end > worker.last_durable_end:
             wait = 0.0
         was_unreachable = worker.is_unreachable
         acknowledged = self.number_to_acknowledge(sent_at)
-        report = await self.link.renew(leader.epoch, acknowledged, deadline, wait)
-        if self.is_closed:
+        report = await self.poll(acknowledged, deadline, wait)
+        if report is None or self.is_closed:
             return
         now = leader.clock.now()
         born = worker.born
@@ -184,6 +214,23 @@
         )
         if has_more_room or was_unreachable or not was_reconciled:
             leader.scheduling_requested.set()
+        self.notify_poll_ended()
+
+    async def poll(
+        self, acknowledged: int, deadline: int | None, wait: float
+    ) -> WorkerReport | None:
+        """Return a report of the worker, ``None`` if its long poll was ended early.
+
+        The parameters and errors are those of :meth:`WorkerLink.renew`.
+        """
+        try:
+            async with asyncio.timeout(None) as scope:
+                self.long_poll = scope if wait else None
+                return await self.link.renew(self.leader.epoch, acknowledged, deadline, wait)
+        except TimeoutError:
+            return None
+        finally:
+            self.long_poll = None
 
     async def wait_for_next_renewal(self) -> None:
         """Wait until the worker has to be polled again.
--- a/src/jaypier/jobs/starts.py
+++ b/src/jaypier/jobs/starts.py
@@ -18,6 +18,11 @@
 """Longest time between two tries of a start, unless a response is awaited for longer."""
 
 
+START_REPORT_MAX_AGE_SECONDS = 1.5
+"""Age of a worker's last report up to which a start request is sent: a long poll and a margin. A
+process that has ended is mostly noticed before, and no request is left without a response."""
+
+
 class StartVerdict(StrEnum):
     """What is known about a run after a response to its start request.
 
