jobs: a task does not start again while a report lists another active run of it

Cause: a report listed an earlier attempt, which the next process had begun. As the task had a later attempt, which was lost with the same report, the earlier one was stopped as unknown, and the task started elsewhere at once, 0.4 s before the stop took effect. The same held for members of a gang that were stopped after a takeover as of another attempt.

Fix: the unknown runs of a report hold their tasks, until a later report no longer lists them, or the lease that they can have at most has ended.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -326,6 +326,7 @@
 
     def remove_worker(self, worker: Worker) -> None:
         """Remove a worker that has no runs and will not come back."""
+        self.record_unknown_tasks(worker, frozenset())
         self.workers.pop(worker.id, None)
 
     def reconcile(self, worker: Worker, conclusion: Conclusion) -> None:
@@ -380,8 +381,18 @@
         expired = self.expired_runs(now)
         for run in expired:
             self.settle_run(run, Conclusion.ENDED, "lease")
+        for worker in self.workers.values():
+            if worker.unknown_tasks and now > self.unknown_runs_end_at(worker):
+                self.record_unknown_tasks(worker, frozenset())
         return list({run.worker.id: run.worker for run in expired}.values())
 
+    def unknown_runs_end_at(self, worker: Worker) -> float:
+        """Return until when the unknown runs in a worker's newest report are active at most.
+
+        :returns: time on the local clock, in seconds.
+        """
+        return max(worker.lease_expires_at, worker.last_report_at + self.longest_lease_seconds)
+
     @property
     def longest_lease_seconds(self) -> float:
         """Longest time on the local clock for which a worker's lease may last."""
@@ -560,7 +571,8 @@
         active = {(each.task, each.attempt) for each in report.active}
         if has_restarted:
             unknown += self.find_late_starts(worker, active, now)
-        worker.has_unknown_runs = not active <= worker.runs.keys()
+        unknown_tasks = frozenset(task for task, _ in active - worker.runs.keys())
+        self.record_unknown_tasks(worker, unknown_tasks)
         if worker.has_unknown_runs:
             # Whoever started them may have extended their lease just now.
             lease_expires_at = now + self.longest_lease_seconds
@@ -586,6 +598,19 @@
         update_slow_worker(worker, self.estimate_accuracy, now)
         return new_ends, unknown
 
+    def record_unknown_tasks(self, worker: Worker, tasks: frozenset[TaskId]) -> None:
+        """Record of which tasks a worker has active runs that are not those of this leader.
+
+        None of them is started elsewhere until its run has ended.
+        """
+        for task_id in worker.unknown_tasks | tasks:
+            found = self.find_task(task_id)
+            if found is not None and task_id in tasks:
+                found[1].unknown_on.add(worker)
+            elif found is not None:
+                found[1].unknown_on.discard(worker)
+        worker.unknown_tasks = tasks
+
     def find_late_starts(
         self, worker: Worker, active: set[tuple[TaskId, int]], now: float
     ) -> list[UnknownRun]:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -152,6 +152,8 @@
         or from which it was moved.
     :param run: current run, ``None`` when the task is not assigned.
     :param may_run_on: workers on which an earlier leader may have left a run of it.
+    :param unknown_on: workers whose newest reports list a run of it that is not ``run``, and is
+        being stopped.
     :param awaits_confirmation: whether its run was lost with its worker, and the store has yet to
         confirm that no newer leader knows more of it.
     """
@@ -166,12 +168,13 @@
     failed_on: set[str] = attrs.field(factory=set)
     run: Run | None = None
     may_run_on: tuple["Worker", ...] = ()
+    unknown_on: set["Worker"] = attrs.field(factory=set)
     awaits_confirmation: bool = False
 
     @property
     def is_unaccounted(self) -> bool:
-        """Whether a run of another leader, or how its last run has ended, may not be known yet."""
-        if self.awaits_confirmation:
+        """Whether another run of it may be active, or how its last run has ended is not known."""
+        if self.awaits_confirmation or self.unknown_on:
             return True
         return bool(self.may_run_on) and any(not each.is_reconciled for each in self.may_run_on)
 
@@ -426,7 +429,7 @@
         gone, ``inf`` for one that is not draining.
     :param is_unreachable: whether the newest request to the worker failed.
     :param has_ended: whether its process has ended and will not be followed by one under its id.
-    :param has_unknown_runs: whether the newest report listed active runs that are not in ``runs``.
+    :param unknown_tasks: tasks of the active runs in the newest report that are not in ``runs``.
         They hold capacity until they have ended.
     :param silent_since: time on the local clock, in seconds, at which a request to it first failed
         after it had responded; ``-inf`` before.
@@ -463,7 +466,7 @@
     drain_deadline: float = math.inf
     is_unreachable: bool = False
     has_ended: bool = False
-    has_unknown_runs: bool = False
+    unknown_tasks: frozenset[TaskId] = frozenset()
     silent_since: float = -math.inf
     unanswered_starts: dict[tuple[TaskId, int], float] = attrs.field(factory=dict)
     speed: float = 1.0
@@ -482,6 +485,11 @@
         """Whether the platform lists it as ready for new tasks."""
         return self.is_registered and self.entry.is_ready
 
+    @property
+    def has_unknown_runs(self) -> bool:
+        """Whether the newest report listed active runs that are not in ``runs``."""
+        return bool(self.unknown_tasks)
+
     @property
     def latest_born(self) -> int:
         """Unix time in milliseconds at which its newest known process started."""
--- a/src/jaypier/jobs/tests/test_evidence.py
+++ b/src/jaypier/jobs/tests/test_evidence.py
@@ -223,6 +223,34 @@
         cluster_state.confirm_workers(cluster_state.unconfirmed_workers)
         assert worker.is_reconciled
 
+    # Guards against TWICE: the next process ran an earlier attempt, and the later one was lost.
+    def test_task_does_not_start_again_before_a_run_that_is_being_stopped_has_ended(self):
+        cluster_state = make_cluster_state(2)
+        planner = make_planner(cluster_state, make_job())
+        (run,) = planner.plan(0.0, 0.0).starts
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+        earlier = make_active_run(run.task, 0)
+        _, unknown = apply_report(cluster_state, run.worker, 1.0, [earlier], born=2)
+        cluster_state.confirm_losses(cluster_state.unconfirmed_losses)
+        assert [each.attempt for each in unknown] == [0]
+        assert planner.plan(1.1, 1.1).starts == []
+        end = make_ended_run(1, run.task, RunOutcome.STOPPED, 0)
+        apply_report(cluster_state, run.worker, 1.5, ends=[end], born=2)
+        assert len(planner.plan(1.6, 1.6).starts) == 1
+
+    def test_task_starts_again_after_the_lease_of_a_run_that_was_being_stopped(self):
+        cluster_state = make_cluster_state(2)
+        planner = make_planner(cluster_state, make_job())
+        (run,) = planner.plan(0.0, 0.0).starts
+        cluster_state.apply_start_response(run, StartResponse.STARTED, 0.1)
+        apply_report(cluster_state, run.worker, 1.0, [make_active_run(run.task, 0)], born=2)
+        cluster_state.confirm_losses(cluster_state.unconfirmed_losses)
+        run.worker.is_unreachable = True
+        cluster_state.expire_leases(7.0)
+        assert planner.plan(7.0, 7.0).starts == []
+        cluster_state.expire_leases(8.0)
+        assert len(planner.plan(8.0, 8.0).starts) == 1
+
     def test_silent_worker_that_has_restarted_is_waited_for_longer(self):
         _, worker = self.make_silent(1, 1)
         _, restarted = self.make_silent(2, 1)
--- a/src/jaypier/scheduling/team_limits.py
+++ b/src/jaypier/scheduling/team_limits.py
@@ -235,9 +235,7 @@
     """
     if not worker.is_reconciled:
         return True
-    longest_lease = cluster_state.longest_lease_seconds
-    ended_at = max(worker.lease_expires_at, worker.last_report_at + longest_lease)
-    return worker.has_unknown_runs and now <= ended_at
+    return worker.has_unknown_runs and now <= cluster_state.unknown_runs_end_at(worker)
 
 
 def free_at_least_zero(worker: Worker) -> Resources:
