jobs: ends of an unknown job wait until the rows of all jobs have been read

Cause: runs of a job whose row the leader has not read were left alone for 1.5 s, then stopped, and their ends acknowledged without being recorded. Time tells nothing of the row: a watch may be silent for longer before the history is compacted, and a leader that was replaced may have started the job just before.

Fix: after 1.5 s the rows of all jobs are read again; what is still unknown to a read that was sent after the first such report is stopped and acknowledged, nothing before.

Tests: both cases of the new one in test_leader.py failed before (a sixth run). Three tests of the core now tell the cluster state that the rows were read, which they took from the time; one of them checks in addition that the run is left alone before.

--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -58,8 +58,8 @@
 immediately costs little."""
 
 ORPHAN_GRACE_SECONDS = 1.5
-"""Time for which reported runs of an unknown job are left alone, because its row in the store may
-not have been read yet."""
+"""Time after which the rows of all jobs are read again because of a reported run of an unknown job:
+mostly, its row has only not been read yet."""
 
 MAX_OPEN_OCCURRENCES = 32
 """Maximum number of open occurrences of one job. It bounds memory and the size of the job's
@@ -92,10 +92,12 @@
 
     :param first_reported_at: time on the local clock, in seconds, of the first such report.
     :param workers: ids of the workers that reported it.
+    :param is_absent: whether the rows of all jobs have been read since then, without its own.
     """
 
     first_reported_at: float
     workers: set[str] = attrs.field(factory=set)
+    is_absent: bool = False
 
 
 class ClusterState:
@@ -171,9 +173,10 @@
         worker.recorded_tasks = None
 
     def should_defer_orphan(self, job_id: str, worker: Worker, now: float) -> bool:
-        """Record a report of an unknown job; return whether its row may still be read soon.
+        """Record a report of an unknown job; return whether its row may still be read.
 
-        If so, the reported run is neither stopped nor applied yet.
+        If so, the reported run is neither stopped nor applied yet: its end would be acknowledged
+        without being recorded.
 
         :param now: time on the local clock, in seconds.
         """
@@ -181,7 +184,25 @@
             return False
         orphan = self.orphans.setdefault(job_id, OrphanedJob(now))
         orphan.workers.add(worker.id)
-        return now - orphan.first_reported_at < ORPHAN_GRACE_SECONDS
+        return not orphan.is_absent
+
+    def has_unread_orphans(self, now: float) -> bool:
+        """Whether the rows of all jobs have to be read because of reported runs of unknown ones.
+
+        :param now: time on the local clock, in seconds.
+        """
+        return any(
+            not each.is_absent and now - each.first_reported_at >= ORPHAN_GRACE_SECONDS
+            for each in self.orphans.values()
+        )
+
+    def confirm_orphans(self, read_at: float) -> None:
+        """Record that the jobs are absent that had been reported before all rows were read.
+
+        :param read_at: time on the local clock, in seconds, at which the read was sent.
+        """
+        for orphan in self.orphans.values():
+            orphan.is_absent = orphan.is_absent or orphan.first_reported_at < read_at
 
     def insert_job(self, state: JobState) -> None:
         """Add a job with its progress; cancel it if it was cancelled before."""
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -210,6 +210,7 @@
                     group.create_task(loop(), name=loop.__name__)
                 group.create_task(self.progress_writer.run(), name="progress_writer")
                 group.create_task(self.run_periodic_checks(), name="run_periodic_checks")
+                group.create_task(self.run_orphan_reads(), name="run_orphan_reads")
         except* LeadershipLost as error:
             log.info("leadership lost", epoch=self.epoch, reason=str(error.exceptions[0]))
         finally:
@@ -394,8 +395,24 @@
 
     async def reload_jobs(self) -> None:
         """Read all rows of jobs again."""
+        sent_at = self.clock.now()
         changes = await self.table.snapshot(JOBS_TABLE)
         self.apply_job_rows(changes.rows, changes.version)
+        self.cluster_state.confirm_orphans(sent_at)
+
+    async def run_orphan_reads(self) -> None:
+        """Read all rows of jobs again when a worker has reported an unknown job, until cancelled.
+
+        A watch may be silent for longer than that, before the history is compacted.
+        """
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            if self.cluster_state.has_unread_orphans(self.clock.now()):
+                await self.retry_until_available(self.reload_jobs)
+                self.metrics.count("leader.orphan_reads")
+                log.info("jobs read again", epoch=self.epoch, version=self.jobs_version)
+                for session in self.sessions.values():
+                    session.wake_event.set()
 
     def apply_job_rows(self, rows: list, version: int) -> None:
         """Add the jobs and apply the cancellations in rows of the jobs table.
--- a/src/jaypier/jobs/tests/test_cluster_state.py
+++ b/src/jaypier/jobs/tests/test_cluster_state.py
@@ -53,6 +53,9 @@
         unknown_run = make_active_run(TaskId("f" * 16, 0, 0, 0))
         apply_report(cluster_state, worker, 1.0, [unknown_run])
         _, unknown = apply_report(cluster_state, worker, 3.0, [unknown_run])
+        assert unknown == []
+        cluster_state.confirm_orphans(3.0)
+        _, unknown = apply_report(cluster_state, worker, 3.1, [unknown_run])
         assert [each.task.job_id for each in unknown] == ["f" * 16]
 
     def test_partial_gang_of_earlier_leader_is_torn_down(self):
@@ -140,6 +143,7 @@
         ]
         apply_report(cluster_state, run.worker, 0.5, ends=ends)
         assert planner.plan(0.5, 0.5).starts == []
+        cluster_state.confirm_orphans(2.4)
         apply_report(cluster_state, run.worker, 2.5, ends=ends)
         assert cluster_state.jobs[job.id].status is JobStatus.COMPLETED
 
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -281,6 +281,31 @@
 
         run_scenario(scenario)
 
+    # Guards against TWICE: the end was acknowledged 1.5 s later, and the job then started again.
+    @pytest.mark.parametrize("seconds", [0.5, 60.0], ids=["ended", "active"])
+    def test_run_of_a_job_that_is_read_late_is_not_started_again(self, seconds):
+        async def scenario(harness):
+            await harness.wait_until(lambda: harness.leader_name is not None, 5)
+            await asyncio.sleep(1.0)
+            leader = harness.leaders[harness.leader_name]
+            # Busy workers are polled all the time.
+            busy = make_job(make_step(count=4, accelerators=5, seconds=60.0))
+            await harness.start_job(busy, 4, 5)
+            harness.store.is_silent = True
+            job = make_job(make_step(seconds=seconds))
+            harness.cluster.submit(job)
+            worker = harness.cluster.workers["worker-00"]
+            request = StartRequest(TaskId(job.id, 0, 0, 0), 1, job.payload, "", worker.clock + 6000)
+            assert worker.start(leader.epoch, request) is StartResponse.STARTED
+            await asyncio.sleep(0.6)
+            await leader.sessions["worker-00"].renew_lease()
+            await asyncio.sleep(4.0)
+            harness.store.is_silent = False
+            await harness.wait_status(job, JobStatus.COMPLETED, 70)
+            assert len(harness.cluster.runs) == 5
+
+        run_scenario(scenario)
+
 
 class TestUnexpectedErrors:
     """An error that concerns one row, worker or request does not end the leadership."""
--- a/src/jaypier/scheduling/tests/test_team_limits.py
+++ b/src/jaypier/scheduling/tests/test_team_limits.py
@@ -170,6 +170,7 @@
         end_run(cluster_state, runs[0], 0.5, outcome=RunOutcome.STOPPED)
         assert planner.plan(0.6, 0.6).starts == []
         known_at = 0.6 + ORPHAN_GRACE_SECONDS
+        cluster_state.confirm_orphans(known_at)
         end_run(cluster_state, runs[0], known_at, outcome=RunOutcome.STOPPED)
         assert len(planner.plan(known_at, known_at).starts) == 1
 
