jobs: silent and deregistered workers are judged where runs are

Change: whether a silent worker may have runs of other leaders, and whether anything may begin on a deregistered one, is decided in jobs/evidence.py; the leader had these conditions inline. No decision changes.

Measured: the tests of takeovers, crashes, leader and evidence pass.

--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -136,6 +136,27 @@
     return ends_at + LONGEST_REQUEST_DELAY_SECONDS if has_restarted else ends_at
 
 
+def judge_silent_worker(is_unused: bool, confirmed_at: float, ends_at: float) -> Conclusion:
+    """Return whether a worker that does not report may have runs of other leaders.
+
+    :param is_unused: whether no other leader can have started a task on it.
+    :param confirmed_at: time on the local clock, in seconds, at which the last confirmed write was
+        sent.
+    :param ends_at: see :func:`unknown_runs_end_at`.
+    """
+    return Conclusion.ENDED if is_unused or confirmed_at > ends_at else Conclusion.OPEN
+
+
+def may_hold_runs(worker: Worker, now: float, confirmed_at: float) -> bool:
+    """Whether anything may run on a deregistered worker, or begin there.
+
+    :param now: time on the local clock, in seconds.
+    :param confirmed_at: time on the local clock, in seconds, at which the last confirmed write was
+        sent.
+    """
+    return bool(worker.runs or late_starts(worker, now)) or confirmed_at <= worker.lease_expires_at
+
+
 def late_starts(worker: Worker, now: float) -> list[tuple[TaskId, int]]:
     """Return the runs on a worker of which a start request may still be under way.
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -17,7 +17,12 @@
 from jaypier.jobs.contained_planning import plan_with_failures
 from jaypier.jobs.crash_log import log_crashes
 from jaypier.jobs.draining import mark_draining_runs
-from jaypier.jobs.evidence import Conclusion, late_starts, unknown_runs_end_at
+from jaypier.jobs.evidence import (
+    Conclusion,
+    judge_silent_worker,
+    may_hold_runs,
+    unknown_runs_end_at,
+)
 from jaypier.jobs.fenced_writer import FencedWriter, LeadershipLost
 from jaypier.jobs.learned import LEARNED_KEY, LearnedState
 from jaypier.jobs.model import Job, StartRequest, StartResponse, TaskId, WorkerEntry
@@ -708,11 +713,12 @@
                 and now - self.elected_at > WORKER_POLL_INTERVAL_SECONDS
                 and is_unused
             )
-            if not is_new and confirmed_at <= ends_at:
+            conclusion = judge_silent_worker(is_new, confirmed_at, ends_at)
+            if conclusion is Conclusion.OPEN:
                 if now > ends_at:
                     self.progress_writer.request_confirmation()
                 continue
-            self.cluster_state.reconcile(worker, Conclusion.ENDED)
+            self.cluster_state.reconcile(worker, conclusion)
             worker.is_unreachable = True
             if not is_new:
                 log.info(
@@ -768,10 +774,9 @@
                     seconds_since_report=now - worker.last_report_at,
                 )
             for worker in list(self.cluster_state.workers.values()):
-                has_ended = self.writer.confirmed_at > worker.lease_expires_at
-                is_unused = not worker.runs and not late_starts(worker, now)
-                is_gone = not worker.is_registered and is_unused and has_ended
-                if is_gone or worker.has_ended:
+                is_gone = not worker.is_registered
+                is_empty = not may_hold_runs(worker, now, self.writer.confirmed_at)
+                if worker.has_ended or is_gone and is_empty:
                     self.drop_worker(worker)
             self.scheduling_requested.set()
 
