jobs: a start is not sent again once a report lists its run

Cause: after a try without a response, a report that listed the run did not end the tries, although they could only be answered "started". Each is one more request that may be carried out late.

Change: the tries end with such a report (log event "start confirmed by report"). In evidence.py, a name.

Measured: the new test in test_leader.py; the tests of jobs, scheduling and platform pass.

--- a/src/jaypier/jobs/evidence.py
+++ b/src/jaypier/jobs/evidence.py
@@ -17,7 +17,6 @@
 """Longest time for which a request without a response is assumed to be still under way. The
 specification says "seconds" and states no limit."""
 
-
 DELIVERY_SECONDS = 1.0
 """Time after which a request has reached the process that runs then, if any: a connection is
 established, and a response arrives or not."""
@@ -103,9 +102,9 @@
     worker = run.worker
     if run.unanswered_at == -math.inf:
         return run.is_confirmed and not run.is_listed and worker.latest_born > run.born
-    is_listed = worker.is_registered and worker.latest_born == worker.entry.born == run.born
+    has_entry = worker.is_registered and worker.entry.born == worker.latest_born == run.born
     alive_at = max(
-        listed_alive_at if is_listed else -math.inf,
+        listed_alive_at if has_entry else -math.inf,
         worker.report_requested_at if worker.born == run.born else -math.inf,
     )
     return alive_at <= run.unanswered_at + DELIVERY_SECONDS
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -814,7 +814,7 @@
             self.spawn(self.stop_run(run), f"stop {run.task}")
 
     async def start_run(self, run: Run) -> None:
-        """Send the start request of a run, retrying until the worker has responded.
+        """Send the start request of a run, retrying until the worker has responded or reported it.
 
         After ``START_TIMEOUT_SECONDS`` without a response, a stop request is sent instead; so it is
         after a refusal that does not prove that the run will not start. No stop is needed if no
@@ -861,6 +861,9 @@
                 if not run.is_sent:
                     self.release_unsent_run(run, "run stopped before its start was sent")
                 return
+            if run.is_listed:
+                log.info("start confirmed by report", task=str(run.task), tries=tries - 1)
+                return
             obstacle = self.find_start_obstacle(worker, born, has_reported)
             if obstacle:
                 self.withdraw_start(run, obstacle)
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -669,6 +669,19 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_start_is_not_sent_again_once_a_report_lists_its_run(self):
+        async def scenario(harness):
+            harness.cluster.lost_start_responses = 1
+            await harness.start_job(make_job(make_step(seconds=60.0)), 1, 5)
+            leader = harness.leaders[harness.leader_name]
+            await asyncio.sleep(START_TIMEOUT_SECONDS)
+            (worker,) = leader.cluster_state.workers.values()
+            (run,) = worker.runs.values()
+            assert run.is_confirmed
+            assert leader.metrics.counters["leader.starts_started"] == 0
+
+        run_scenario(scenario, workers=1)
+
     def test_start_is_not_sent_to_an_idle_worker_that_no_longer_reports(self):
         # Its pooled connections may look sound: the start would have no response, or a late one.
         async def scenario(harness):
