jobs: a worker that does not report before a start is avoided

Cause: a start waits for a report.

The end of a long poll by a timeout that is not its own early end is raised.

Measured: the new test in test_leader.py failed without the change.

--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -864,6 +864,8 @@
             if run.is_listed:
                 log.info("start confirmed by report", task=str(run.task), tries=tries - 1)
                 return
+            if not has_reported:
+                self.cluster_state.avoid_worker(worker, self.clock.now())
             obstacle = self.find_start_obstacle(worker, born, has_reported)
             if obstacle:
                 self.withdraw_start(run, obstacle)
--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -228,6 +228,8 @@
                 self.long_poll = scope if wait else None
                 return await self.link.renew(self.leader.epoch, acknowledged, deadline, wait)
         except TimeoutError:
+            if not scope.expired():
+                raise
             return None
         finally:
             self.long_poll = None
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -682,6 +682,20 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_task_starts_elsewhere_if_the_reports_of_a_worker_tell_nothing(self):
+        # As from a process whose clock has jumped back, so that it seems to be older than the last.
+        async def scenario(harness):
+            await asyncio.sleep(5.0)
+            first, second = harness.cluster.workers.values()
+            harness.cluster.begin_draining(second)
+            await asyncio.sleep(1.0)
+            first.entry = attrs.evolve(first.entry, born=0)
+            harness.cluster.end_draining(second)
+            harness.cluster.submit(make_job(make_step(seconds=60.0)))
+            await harness.wait_until(lambda: bool(second.active), START_TIMEOUT_SECONDS + 1.0)
+
+        run_scenario(scenario, workers=2)
+
     def test_start_is_not_sent_to_an_idle_worker_that_no_longer_reports(self):
         # Its pooled connections may look sound: the start would have no response, or a late one.
         async def scenario(harness):
