jobs: a leader that may not renew leases polls busy workers once a second

Cause: without authority, the polls of a worker with runs carried no deadline, and therefore no wait either; each was followed by the next at once.

Change: a busy worker that answers is polled with a wait, whether or not its lease may be extended.

--- a/src/jaypier/jobs/session.py
+++ b/src/jaypier/jobs/session.py
@@ -174,9 +174,10 @@
         sent_at = leader.clock.now()
         deadline = None
         # The lease of an unreachable worker is not extended: its runs have to end by a known time.
-        if worker.is_reconciled and worker.runs and not worker.is_unreachable:
+        is_busy = worker.is_reconciled and bool(worker.runs) and not worker.is_unreachable
+        if is_busy:
             deadline = leader.authority.grant_lease(worker, sent_at)
-        is_waiting_for_end = deadline is not None or worker.has_unknown_runs
+        is_waiting_for_end = is_busy or worker.has_unknown_runs
         wait = LONG_POLL_SECONDS if is_waiting_for_end and not is_requested else 0.0
         if worker.last_processed_end > worker.last_durable_end:
             wait = 0.0
--- a/src/jaypier/jobs/tests/test_leader.py
+++ b/src/jaypier/jobs/tests/test_leader.py
@@ -1026,6 +1026,24 @@
 
         run_scenario(scenario, workers=1)
 
+    def test_busy_worker_is_not_polled_without_pause_by_a_leader_that_may_not_renew(self):
+        async def scenario(harness):
+            await harness.start_job(make_job(make_step(seconds=60.0)), 1, 5)
+            (busy,) = (each for each in harness.cluster.workers.values() if each.active)
+            name = harness.leader_name
+            harness.store.is_down = True
+            harness.cluster.cut_links |= {
+                (name, each.entry.id) for each in harness.cluster.workers.values() if each != busy
+            }
+            leader = harness.leaders[name]
+            await harness.wait_until(lambda: not leader.has_authority, 10)
+            before = busy.report_count
+            await asyncio.sleep(3.0)
+            assert busy.report_count - before <= 4
+            assert busy.active
+
+        run_scenario(scenario, workers=4)
+
     def test_idle_worker_is_rarely_polled(self):
         async def scenario(harness):
             await asyncio.sleep(100.0)
