--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -46,7 +46,8 @@
 [Limits]
 CpuQuota = 1.0
 CpuCores = 1
-MemoryLimitMb = 300
+MemoryLimitMb = {memory_mb}
+MaxFds = {descriptors}
 [platform]
 Address = "{host}:{store}"
 [Bounds]
@@ -107,6 +108,8 @@
     :param daemons: number of daemons.
     :param racks: number of racks, each in a separate data centre.
     :param workers_per_rack: number of workers of a rack, each with 8 accelerators.
+    :param memory_mb: memory of each VM, in MB; only with ``ConfigurationSource.PLATFORM``.
+    :param descriptors: file descriptors of each VM; only with ``ConfigurationSource.PLATFORM``.
     :ivar wall_clock_leads: seconds by which the wall clock of a daemon is ahead once it is started.
     """
 
@@ -117,8 +120,12 @@
         daemons: int = 3,
         racks: int = 2,
         workers_per_rack: int = 2,
+        memory_mb: int = 300,
+        descriptors: int = 4100,
     ) -> None:
         self.folder = folder
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
         self.configuration_source = configuration_source
         self.cluster = MemoryCluster(MemoryStore(random.Random(1)), random.Random(2))
         for number in range(racks * workers_per_rack):
@@ -205,6 +212,8 @@
             "id": f"entry-{number}",
             "data_centre": f"dc-{number}",
             "host": HOST,
+            "memory_mb": self.memory_mb,
+            "descriptors": self.descriptors,
             **attrs.asdict(ports),
         }
         if self.configuration_source is ConfigurationSource.PLATFORM:
