wire: a connection is not read while its client does not take the responses

What callers saw: a process ended, out of memory, and with it all requests in flight there. Clients had sent requests ahead and read nothing: to queues without a key, to paths that no route has, to the ready address.

Cause: data_received fed all that came to the parser, also while a request was handled, and the next response was written while the earlier ones were unread. Neither input nor output of a connection had a bound. The timer that should end such a connection was set anew by each further request, and none ran after an error response, whose connection stayed open as long as its client did.

Change: a connection is in one phase, each phase has one timer, and only a change of phase sets it. The next request is parsed once the responses so far are taken; beyond 16 KiB ahead the connection is not read meanwhile. A read takes 16 KiB at most, in a buffer that all connections of a server share; the kernel's buffers of a connection have 64 KiB. After an error response the connection is half-closed and what still comes is discarded, up to 1 MiB or 10 s: a close would reset it, and the client would lose the response.

Each of 5,000 requests ahead of a client that reads is still answered.

Why it works: what a client can make the process hold before it takes a response is now one read, the requests ahead, and the responses up to the transport's high-water mark; every phase that waits for a client ends by a timer that the client cannot set anew.

--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server on ``asyncio`` and ``h11`` with graceful shutdown."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import attrs
 import h11
@@ -20,6 +22,18 @@
 PROGRESS_INTERVAL_SECONDS = 0.2
 """Minimum time between two interim responses that announce progress."""
 
+SOCKET_BUFFER_BYTES = 65536
+"""Size of the kernel's send buffer and of its receive buffer for a connection."""
+
+READ_BYTES = 16384
+"""Largest number of bytes that one read of a connection takes."""
+
+MAX_BYTES_AHEAD = 16384
+"""Number of bytes of later requests from which a connection is not read while one is handled."""
+
+MAX_DISCARDED_BYTES = MAX_BODY_BYTES
+"""Number of bytes that are read after an error response, for the client to get the response."""
+
 MAX_CONNECTIONS = 4096
 """Maximum number of open connections of one server."""
 
@@ -41,10 +55,31 @@
     idle_timeout_seconds: float = 60.0
 
 
-class ServerConnection(asyncio.Protocol):
+class Phase(Enum):
+    """What a connection waits for.
+
+    ``IDLE``: the first byte of a request. ``HEAD``: the rest of its line and headers. ``BODY``: the
+    rest of its body. ``HANDLING``: the handler. ``UNREAD``: the client, which has not read the
+    responses so far. ``CLOSING``: the client as well; no further request is handled.
+    """
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    HANDLING = "handling"
+    UNREAD = "unread"
+    CLOSING = "closing"
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """One client connection; it handles one request at a time.
 
+    Requests sent ahead stay unread beyond ``MAX_BYTES_AHEAD`` while one is handled or responses are
+    not taken.
+
     :param server: the server that accepted the connection.
+    :ivar is_write_paused: whether the client has too much to read before the next request.
+    :ivar is_read_paused: whether the connection is not read for the time being.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -54,13 +89,16 @@
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         self.transport: asyncio.Transport | None = None
+        self.phase = Phase.IDLE
         self.request: HttpRequest | None = None
         self.body: list[bytes] = []
         self.body_size = 0
-        self.is_reading = False
+        self.is_write_paused = False
+        self.is_read_paused = False
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.progress_announced_at = float("-inf")
+        self.discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or abort it if the server has its maximum of connections."""
@@ -69,7 +107,7 @@
             transport.abort()
             return
         self.server.connections.add(self)
-        self.set_timer(self.limits.idle_timeout_seconds)
+        self.enter(Phase.IDLE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has disconnected."""
@@ -78,14 +116,16 @@
         if self.task is not None:
             self.task.cancel()
 
-    def data_received(self, data: bytes) -> None:
-        """Feed received bytes to the parser."""
-        self.http.receive_data(data)
-        if self.task is not None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections of the server share."""
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Feed received bytes to the parser, and handle the request that they complete."""
+        if self.phase is Phase.CLOSING:
+            self.discard(nbytes)
             return
-        if not self.is_reading:
-            self.is_reading = True
-            self.set_timer(self.limits.header_timeout_seconds)
+        self.http.receive_data(bytes(memoryview(self.server.read_buffer)[:nbytes]))
         self.process_events()
 
     def eof_received(self) -> bool:
@@ -93,22 +133,41 @@
         return False
 
     def pause_writing(self) -> None:
-        """Limit the time that a slow client may take to read the response."""
-        self.set_timer(RESPONSE_WRITE_TIMEOUT_SECONDS)
+        """Wait for the client before the next request is read."""
+        self.is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Return to the idle timeout once the client has read the response."""
-        self.set_timer(self.limits.idle_timeout_seconds)
+        """Go on with the next request once the client has read the responses."""
+        self.is_write_paused = False
+        if self.phase is Phase.UNREAD:
+            self.begin_next_request()
+            self.process_events()
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return self.task is None and not self.is_reading
+        """Whether no request is being read or handled, and none has been sent ahead."""
+        if self.phase is Phase.UNREAD:
+            return not self.bytes_ahead
+        return self.phase in (Phase.IDLE, Phase.CLOSING)
+
+    @property
+    def bytes_ahead(self) -> int:
+        """Number of bytes that were read and not parsed."""
+        return len(self.http.trailing_data[0])
 
-    def set_timer(self, seconds: float) -> None:
-        """Start the timer that closes the connection after ``seconds``, replacing a running one."""
+    def enter(self, phase: Phase) -> None:
+        """Enter a phase and start its timer, which no byte that the client sends starts anew."""
+        self.phase = phase
         self.clear_timer()
-        self.timer = asyncio.get_running_loop().call_later(seconds, self.on_timeout)
+        seconds = {
+            Phase.IDLE: self.limits.idle_timeout_seconds,
+            Phase.HEAD: self.limits.header_timeout_seconds,
+            Phase.BODY: BODY_READ_TIMEOUT_SECONDS,
+            Phase.UNREAD: RESPONSE_WRITE_TIMEOUT_SECONDS,
+            Phase.CLOSING: RESPONSE_WRITE_TIMEOUT_SECONDS,
+        }.get(phase)
+        if seconds is not None:
+            self.timer = asyncio.get_running_loop().call_later(seconds, self.on_timeout)
 
     def clear_timer(self) -> None:
         """Cancel the running timer."""
@@ -117,30 +176,64 @@
             self.timer = None
 
     def on_timeout(self) -> None:
-        """Close a connection that was idle or slow for too long, unless a handler runs."""
+        """Close a connection whose client was idle or slow for too long."""
         self.timer = None
-        if self.task is not None or self.transport is None:
-            return
-        if self.is_reading:
+        if self.phase in (Phase.HEAD, Phase.BODY):
             self.reject(408, "the request did not arrive whole in time")
-        elif self.transport.get_write_buffer_size():
+        elif self.phase is Phase.CLOSING or self.transport.get_write_buffer_size():
             self.transport.abort()
         else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection once the client has read what was sent, but do not wait long."""
+        if self.phase is not Phase.CLOSING:
+            self.enter(Phase.CLOSING)
             self.transport.close()
 
+    def half_close(self) -> None:
+        """End the connection in the direction of the client, and wait until it does the same.
+
+        Closing a connection with unread bytes resets it, and the client may lose the response.
+        """
+        self.enter(Phase.CLOSING)
+        self.update_reading()
+        self.transport.write_eof()
+
+    def discard(self, count: int) -> None:
+        """Count bytes that a client sends after its last response; abort if they do not end."""
+        self.discarded_bytes += count
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.transport.abort()
+
     def process_events(self) -> None:
         """Read parser events until a request is complete or more bytes are needed."""
         try:
-            while self.task is None:
+            while self.phase in (Phase.IDLE, Phase.HEAD, Phase.BODY):
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
+                    if self.phase is Phase.IDLE and self.bytes_ahead:
+                        self.enter(Phase.HEAD)
+                    break
                 if isinstance(event, h11.ConnectionClosed):
-                    self.transport.close()
-                    return
+                    self.close()
+                    break
                 self.handle_event(event)
         except h11.RemoteProtocolError as error:
             self.reject(error.error_status_hint, str(error))
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Pause reading while enough was sent ahead, and resume it afterwards."""
+        is_waiting = self.phase in (Phase.HANDLING, Phase.UNREAD)
+        is_read_paused = is_waiting and self.bytes_ahead >= MAX_BYTES_AHEAD
+        if is_read_paused == self.is_read_paused:
+            return
+        self.is_read_paused = is_read_paused
+        if is_read_paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def handle_event(self, event: h11.Event) -> None:
         """Add one parser event to the request being read."""
@@ -149,7 +242,7 @@
             self.request = HttpRequest(
                 method, target, list(event.headers), announce_progress=self.announce_progress
             )
-            self.set_timer(BODY_READ_TIMEOUT_SECONDS)
+            self.enter(Phase.BODY)
             if self.http.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
@@ -159,9 +252,9 @@
                 return
             self.body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self.is_reading = False
             self.request.body = b"".join(self.body)
-            self.clear_timer()
+            self.body, self.body_size = [], 0
+            self.enter(Phase.HANDLING)
             self.task = asyncio.get_running_loop().create_task(self.handle(self.request))
 
     async def handle(self, request: HttpRequest) -> None:
@@ -171,11 +264,13 @@
         except Exception as error:
             self.server.on_handler_error(error)
             response = HttpResponse(500, body=b"internal error\n")
+        self.task = None
         self.send_response(request, response)
+        self.process_events()
 
     def announce_progress(self) -> None:
         """Send the interim response 102 to a client that waits for the handler."""
-        if self.task is None or self.transport.is_closing():
+        if self.task is None or self.is_write_paused or self.transport.is_closing():
             return
         now = asyncio.get_running_loop().time()
         is_due = now >= self.progress_announced_at + PROGRESS_INTERVAL_SECONDS
@@ -185,8 +280,7 @@
 
     def send_response(self, request: HttpRequest, response: HttpResponse) -> None:
         """Send a response and prepare for the next request."""
-        self.task = None
-        if self.transport is None or self.transport.is_closing():
+        if self.transport.is_closing():
             return
         headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
         if self.server.is_stopping:
@@ -205,28 +299,28 @@
             headers = [(b"content-length", str(len(body)).encode()), (b"connection", b"close")]
             head = h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
             self.write(head, h11.Data(data=body), h11.EndOfMessage())
-        self.request = None
-        self.transport.close()
+        self.request, self.body, self.body_size = None, [], 0
+        self.half_close()
 
     def write(self, *events: h11.Event) -> None:
         """Serialize events and write them in one call."""
         self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
 
     def finish_request(self) -> None:
-        """End the request cycle: close the connection, or read the next request."""
+        """End the request cycle: close the connection, or wait for the next request."""
         self.request = None
-        self.body = []
-        self.body_size = 0
-        if self.http.our_state is h11.MUST_CLOSE:
-            self.transport.close()
-            return
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
-            self.transport.close()
+            self.close()
             return
         self.http.start_next_cycle()
-        self.set_timer(self.limits.idle_timeout_seconds)
-        self.is_reading = bool(self.http.trailing_data[0])
-        self.process_events()
+        if self.is_write_paused:
+            self.enter(Phase.UNREAD)
+        else:
+            self.begin_next_request()
+
+    def begin_next_request(self) -> None:
+        """Wait for a request, or for the rest of one that was sent ahead."""
+        self.enter(Phase.HEAD if self.bytes_ahead else Phase.IDLE)
 
 
 class HttpServer:
@@ -238,7 +332,6 @@
     :param get_limits: returns the limits for a new connection.
     """
 
-    connection_class = ServerConnection
     max_connections = MAX_CONNECTIONS
 
     def __init__(
@@ -253,14 +346,24 @@
         self.on_handler_error = on_handler_error
         self.get_limits = get_limits
         self.connections: set[ServerConnection] = set()
+        self.read_buffer = bytearray(READ_BYTES)
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> "HttpServer":
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: self.connection_class(self), self.address.host, self.address.port, backlog=512
+            lambda: ServerConnection(self),
+            self.address.host,
+            self.address.port,
+            backlog=512,
+            start_serving=False,
         )
+        # Accepted connections inherit these; the window follows from them when listening begins.
+        for each in self.listener.sockets:
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        await self.listener.start_serving()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -283,6 +386,6 @@
         deadline = asyncio.get_running_loop().time() + timeout
         while self.connections and asyncio.get_running_loop().time() < deadline:
             for connection in [each for each in self.connections if each.is_idle]:
-                connection.transport.close()
+                connection.close()
             await asyncio.sleep(0.02)
         return sum(not connection.is_idle for connection in self.connections)
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jaypier.core.address import Address
+from jaypier.wire import server
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
@@ -208,6 +209,61 @@
         run_scenario(scenario)
 
 
+class TestUnreadResponses:
+    """Clients that send requests ahead and read no response."""
+
+    async def press(self, harness: Harness, seconds: float) -> bool:
+        """Send requests for some seconds; return whether the connection has been closed by then."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + seconds
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.setblocking(False)
+            await loop.sock_connect(client, (harness.address.host, harness.address.port))
+            while loop.time() < deadline:
+                try:
+                    client.send(100 * b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+                except BlockingIOError:
+                    await asyncio.sleep(0.01)
+                except ConnectionError:
+                    return True
+                await asyncio.sleep(0)
+        return False
+
+    def test_client_is_disconnected_though_it_goes_on_sending(self, monkeypatch):
+        monkeypatch.setattr(server, "RESPONSE_WRITE_TIMEOUT_SECONDS", 0.3)
+
+        async def scenario(harness):
+            async def handle(request: HttpRequest) -> HttpResponse:
+                return HttpResponse(200, [], bytes(10_000))
+
+            harness.server.handler = handle
+            assert await self.press(harness, 10.0)
+            assert not harness.server.connections
+
+        run_scenario(scenario)
+
+    def test_requests_ahead_are_not_read_while_one_is_handled(self):
+        async def scenario(harness):
+            harness.release.clear()
+            await self.press(harness, 0.5)
+            (connection,) = harness.server.connections
+            assert connection.bytes_ahead <= server.MAX_BYTES_AHEAD + server.READ_BYTES
+
+        run_scenario(scenario)
+
+    def test_all_requests_ahead_are_answered_to_a_client_that_reads(self):
+        count = 5000
+
+        async def scenario(harness):
+            request = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
+            last = request.replace(b"host: a", b"host: a\r\nconnection: close")
+            response = await harness.send_raw((count - 1) * request + last)
+            assert response.count(b"HTTP/1.1 200") == count
+
+        run_scenario(scenario)
+
+
 class TestGracefulShutdown:
     def test_request_in_flight_gets_its_response(self):
         async def scenario(harness):
