wire: a chunked body takes memory by its size, not by the number of its chunks

Cause: the server kept a list of the chunks, each an object of its own: 48 bytes for a chunk of two bytes.

Change: the body is one bytearray.

--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -91,8 +91,7 @@
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.IDLE
         self.request: HttpRequest | None = None
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.is_write_paused = False
         self.is_read_paused = False
         self.task: asyncio.Task | None = None
@@ -246,14 +245,13 @@
             if self.http.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
-            self.body_size += len(event.data)
-            if self.body_size > self.limits.max_body_bytes:
+            if len(self.body) + len(event.data) > self.limits.max_body_bytes:
                 self.reject(413, f"body exceeds {self.limits.max_body_bytes} bytes")
                 return
-            self.body.append(bytes(event.data))
+            self.body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            self.request.body = b"".join(self.body)
-            self.body, self.body_size = [], 0
+            self.request.body = bytes(self.body)
+            self.body = bytearray()
             self.enter(Phase.HANDLING)
             self.task = asyncio.get_running_loop().create_task(self.handle(self.request))
 
@@ -299,7 +297,7 @@
             headers = [(b"content-length", str(len(body)).encode()), (b"connection", b"close")]
             head = h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
             self.write(head, h11.Data(data=body), h11.EndOfMessage())
-        self.request, self.body, self.body_size = None, [], 0
+        self.request, self.body = None, bytearray()
         self.half_close()
 
     def write(self, *events: h11.Event) -> None:
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import tracemalloc
 
 import pytest
 
@@ -264,6 +265,32 @@
         run_scenario(scenario)
 
 
+class TestChunkedBodies:
+    def test_body_takes_memory_by_its_size_not_by_its_chunks(self):
+        count = 20_000
+
+        async def scenario(harness):
+            reader, writer = await asyncio.open_connection(
+                harness.address.host, harness.address.port
+            )
+            writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n")
+            await writer.drain()
+            tracemalloc.start()
+            before = tracemalloc.get_traced_memory()[0]
+            for _ in range(count // 1000):
+                writer.write(1000 * b"2\r\nxx\r\n")
+                await writer.drain()
+            (connection,) = harness.server.connections
+            while len(connection.body) < 2 * count:
+                await asyncio.sleep(0.01)
+            used = tracemalloc.get_traced_memory()[0] - before
+            tracemalloc.stop()
+            assert used < 8 * 2 * count
+            writer.close()
+
+        run_scenario(scenario)
+
+
 class TestGracefulShutdown:
     def test_request_in_flight_gets_its_response(self):
         async def scenario(harness):
