entry: connections of clients are bounded by the VM's descriptors

Cause: each of five servers accepted 4,096 connections, whatever the VM has; and at that limit it refused the newcomer, so that idle clients kept everybody out for their idle time-out.

At its maximum a server closes the connection that has waited longest for its client, never one whose request is handled. At most 16 connections are accepted in one turn of the event loop, as those closed for them only go in the next.

Unit tests for the order and for requests in progress.

Why it works: the bound is on the number of open connections of all servers, derived from what the VM has, and an idle crowd only displaces itself.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -3,18 +3,22 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from urllib.parse import unquote
 
 import msgspec
 import structlog
 
+from jaypier.core.address import Address
 from jaypier.core.clock import BootClock
 from jaypier.core.codec import to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.core.supervision import supervise
 from jaypier.entry.caller_api import CallerApi
+from jaypier.entry.capacity import ServerName
 from jaypier.entry.configuration import OperatorSource
+from jaypier.entry.refusals import RefusalLog
 from jaypier.entry.requests import assume_submitted, decode_request
 from jaypier.entry.settings import VmSettings
 from jaypier.entry.watcher import ConfigurationWatcher
@@ -44,7 +48,7 @@
 from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
-from jaypier.wire.server import HttpLimits, HttpServer
+from jaypier.wire.server import Handler, HttpLimits, HttpServer
 
 MAX_READY_CONFIGURATION_AGE_SECONDS = 2.5
 """Age of the configuration, in seconds, up to which the readiness probe succeeds."""
@@ -81,6 +85,7 @@
         # Other clocks stand still while the VM is suspended, and its authority would outlive that.
         self.clock = BootClock()
         self.metrics = Metrics()
+        self.refusals = RefusalLog(self.metrics, self.clock)
         self.rng = random.Random()
         self.incarnation = f"{settings.name}/{time.time_ns()}"
         self.stop_requested = asyncio.Event()
@@ -398,22 +403,45 @@
     def build_servers(self) -> list[HttpServer]:
         """Return one server for each listen address; the first one is for callers."""
         settings = self.settings
-        handlers = [
-            (settings.caller_address, self.caller_api.handle, self.caller_limits),
-            (settings.ready_address, self.handle_ready, HttpLimits),
-            (settings.metrics_address, self.handle_metrics, HttpLimits),
-            (
+        servers = [
+            self.build_server(
+                ServerName.CALLERS,
+                settings.caller_address,
+                self.caller_api.handle,
+                self.caller_limits,
+            ),
+            self.build_server(ServerName.READY, settings.ready_address, self.handle_ready),
+            self.build_server(ServerName.METRICS, settings.metrics_address, self.handle_metrics),
+            self.build_server(
+                ServerName.PEERS,
                 settings.peer_address,
                 self.handle_peer,
                 lambda: HttpLimits(max_body_bytes=MAX_RESPONSE_BYTES),
             ),
         ]
         if settings.operators is not None and self.operator_api is not None:
-            handlers.append((settings.operators.address, self.operator_api.handle, HttpLimits))
-        return [
-            HttpServer(address, handler, self.on_handler_error, limits)
-            for address, handler, limits in handlers
-        ]
+            address = settings.operators.address
+            servers.append(
+                self.build_server(ServerName.OPERATORS, address, self.operator_api.handle)
+            )
+        return servers
+
+    def build_server(
+        self,
+        name: ServerName,
+        address: Address,
+        handler: Handler,
+        get_limits: Callable[[], HttpLimits] = HttpLimits,
+    ) -> HttpServer:
+        """Return one server, with its share of what clients may take up."""
+        return HttpServer(
+            address,
+            handler,
+            self.on_handler_error,
+            get_limits,
+            self.settings.capacity.for_server(name),
+            lambda reason: self.refusals.observe(name, reason),
+        )
 
     async def run(self) -> None:
         """Run until ``stop_requested`` is set, then shut down gracefully.
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -9,6 +9,7 @@
 from jaypier.core.address import Address
 from jaypier.core.codec import DecodeError, structure_strictly
 from jaypier.core.errors import JaypierError
+from jaypier.entry.capacity import CapacitySettings
 from jaypier.jobs.valuation import ValueSettings
 from jaypier.scheduling.overload import OverloadSettings
 
@@ -139,6 +140,7 @@
     :param overload: refusal of jobs at submission.
     :param teams: how teams share capacity that is contended.
     :param max_row_bytes: largest value of a row in the store, in bytes.
+    :param capacity: what the daemon may take up on this VM.
     """
 
     name: str
@@ -155,6 +157,7 @@
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
     teams: TeamSettings = attrs.field(factory=TeamSettings)
     max_row_bytes: int = 65536
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
 
 
 @attrs.frozen
@@ -174,6 +177,7 @@
     :param values: what jobs are worth to their callers.
     :param overload: refusal of jobs at submission.
     :param teams: how teams share capacity that is contended.
+    :param capacity: what the daemon may take up on this VM.
     """
 
     id: str = attrs.field(validator=_validate_name)
@@ -190,6 +194,7 @@
     values: ValueSettings = attrs.field(factory=ValueSettings)
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
     teams: TeamSettings = attrs.field(factory=TeamSettings)
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
     def __attrs_post_init__(self) -> None:
@@ -219,6 +224,7 @@
             values=self.values,
             overload=self.overload,
             teams=self.teams,
+            capacity=self.capacity,
             operators=OperatorSettings(Address.parse(self.operator_address), self.operator_tokens),
         )
 
--- /dev/null
+++ b/src/jaypier/entry/tests/test_capacity.py
@@ -0,0 +1,29 @@
+import pytest
+
+from jaypier.entry.capacity import CapacitySettings, ServerName
+
+
+class TestConnections:
+    def test_each_server_has_its_share_and_the_rest_is_left_for_outgoing_connections(self):
+        settings = CapacitySettings(descriptors=1000)
+        shares = {name: settings.for_server(name).max_connections for name in ServerName}
+        assert shares == {
+            ServerName.CALLERS: 250,
+            ServerName.READY: 25,
+            ServerName.METRICS: 12,
+            ServerName.PEERS: 100,
+            ServerName.OPERATORS: 12,
+        }
+        assert sum(shares.values()) <= settings.max_client_connections == 400
+
+    def test_every_server_accepts_some_connections(self):
+        settings = CapacitySettings(descriptors=300, client_descriptor_share=0.01)
+        assert all(settings.for_server(name).max_connections >= 4 for name in ServerName)
+
+    @pytest.mark.parametrize(
+        "values",
+        [{"descriptors": 299}, {"client_descriptor_share": 0.0}, {"client_descriptor_share": 1}],
+    )
+    def test_values_out_of_range_are_refused(self, values):
+        with pytest.raises(ValueError):
+            CapacitySettings(**values)
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from jaypier.core.address import Address
+from jaypier.entry.capacity import CapacitySettings
 from jaypier.entry.settings import Bounds, SettingsError, VmSettings
 
 SETTINGS_VARIABLE = "JAYPIER_NODE_FILE"
@@ -49,6 +50,14 @@
         processor_share=float(limits["CpuQuota"]) * float(limits.get("CpuCores", 1)),
         bounds=_decode_bounds(values.get("Bounds", {})),
         max_row_bytes=int(values["platform"].get("MaxRowBytes", 65536)),
+        capacity=_decode_capacity(limits),
+    )
+
+
+def _decode_capacity(limits: dict[str, Any]) -> CapacitySettings:
+    names = {"descriptors": "MaxFds"}
+    return CapacitySettings(
+        **{name: int(limits[key]) for name, key in names.items() if key in limits}
     )
 
 
--- a/src/jaypier/platform/tests/test_settings.py
+++ b/src/jaypier/platform/tests/test_settings.py
@@ -1,5 +1,6 @@
 import pytest
 
+from jaypier.entry.capacity import CapacitySettings
 from jaypier.platform.settings import SettingsError, load_vm_settings
 
 TEXT = """
@@ -14,7 +15,8 @@
 [Limits]
 CpuQuota = 0.5
 CpuCores = 2
-MemoryLimitMb = 300
+MemoryLimitMb = 200
+MaxFds = 8192
 [platform]
 Address = "10.200.1.7:8524"
 [Bounds]
@@ -40,10 +42,16 @@
         assert settings.bounds.lease == 6.0
         assert settings.bounds.restore == 0.6
         assert settings.bounds.grace == 6.0
+        assert settings.capacity.descriptors == 8192
+
+    def test_capacity_has_defaults(self, tmp_path):
+        settings = self.load(tmp_path, TEXT.replace("MaxFds = 8192", ""))
+        assert settings.capacity == CapacitySettings()
 
     @pytest.mark.parametrize(
         "change, message",
         [
+            (("MaxFds = 8192", "MaxFds = 100"), "too little"),
             (('NodeName = "edge-1"', ""), "NodeName"),
             (('"10.200.1.7:8524"', '"store"'), "IP:PORT"),
             (("[platform]", "[platform"), "node.toml"),
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -9,6 +9,7 @@
 import h11
 
 from jaypier.core.address import Address
+from jaypier.wire.capacity import RefusalReason, ServerCapacity
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse, reason_phrase
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -34,8 +35,11 @@
 MAX_DISCARDED_BYTES = MAX_BODY_BYTES
 """Number of bytes that are read after an error response, for the client to get the response."""
 
-MAX_CONNECTIONS = 4096
-"""Maximum number of open connections of one server."""
+LISTEN_BACKLOG = 512
+"""Connections that may wait to be accepted."""
+
+ACCEPTS_PER_TURN = 16
+"""Connections that are accepted in one turn of the event loop, before any of them can be closed."""
 
 
 @attrs.frozen
@@ -100,9 +104,9 @@
         self.discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection, or abort it if the server has its maximum of connections."""
+        """Register the connection, or abort it if there is no room for it."""
         self.transport = transport
-        if len(self.server.connections) >= self.server.max_connections:
+        if not self.server.make_room():
             transport.abort()
             return
         self.server.connections.add(self)
@@ -110,7 +114,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has disconnected."""
-        self.server.connections.discard(self)
+        self.server.forget(self)
         self.clear_timer()
         if self.task is not None:
             self.task.cancel()
@@ -156,6 +160,7 @@
 
     def enter(self, phase: Phase) -> None:
         """Enter a phase and start its timer, which no byte that the client sends starts anew."""
+        self.server.order_by_wait(self, self.phase, phase)
         self.phase = phase
         self.clear_timer()
         seconds = {
@@ -205,6 +210,12 @@
         if self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.transport.abort()
 
+    def abort(self) -> None:
+        """Close the connection at once; it no longer counts as open."""
+        self.enter(Phase.CLOSING)
+        self.transport.abort()
+        self.server.forget(self)
+
     def process_events(self) -> None:
         """Read parser events until a request is complete or more bytes are needed."""
         try:
@@ -328,40 +339,49 @@
     :param handler: coroutine function that takes a request and returns its response.
     :param on_handler_error: called with each exception that the handler raises.
     :param get_limits: returns the limits for a new connection.
+    :param capacity: what all its clients may take up.
+    :param on_refusal: called with the reason of each refusal for want of capacity.
+    :ivar waiting: the connections that wait for their clients, the longest wait first.
     """
 
-    max_connections = MAX_CONNECTIONS
-
     def __init__(
         self,
         address: Address,
         handler: Handler,
         on_handler_error: Callable[[Exception], None],
         get_limits: Callable[[], HttpLimits] = HttpLimits,
+        capacity: ServerCapacity | None = None,
+        on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.on_handler_error = on_handler_error
         self.get_limits = get_limits
+        self.capacity = capacity or ServerCapacity()
+        self.on_refusal = on_refusal
         self.connections: set[ServerConnection] = set()
+        self.waiting: dict[ServerConnection, None] = {}
         self.read_buffer = bytearray(READ_BYTES)
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> "HttpServer":
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            lambda: ServerConnection(self),
-            self.address.host,
-            self.address.port,
-            backlog=512,
-            start_serving=False,
-        )
-        # Accepted connections inherit these; the window follows from them when listening begins.
-        for each in self.listener.sockets:
-            each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-            each.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
-        await self.listener.start_serving()
+        listening = socket.socket()
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # Accepted connections inherit the sizes of the buffers.
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+            listening.bind((self.address.host, self.address.port))
+            self.listener = await asyncio.get_running_loop().create_server(
+                lambda: ServerConnection(self), sock=listening, backlog=ACCEPTS_PER_TURN
+            )
+            # The event loop accepts as many connections in a turn as its backlog says; the kernel
+            # may hold more.
+            listening.listen(LISTEN_BACKLOG)
+        except BaseException:
+            listening.close()
+            raise
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -369,6 +389,37 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    def make_room(self) -> bool:
+        """Return whether one more connection may be open, and close another one for it if needed.
+
+        The connection that has waited longest for its client is closed, none whose request is
+        being handled.
+        """
+        if len(self.connections) < self.capacity.max_connections:
+            return True
+        self.on_refusal(RefusalReason.CONNECTIONS)
+        longest_waiting = next(iter(self.waiting), None)
+        if longest_waiting is None:
+            return False
+        longest_waiting.abort()
+        return True
+
+    def order_by_wait(self, connection: ServerConnection, before: Phase, after: Phase) -> None:
+        """Keep ``waiting`` in order when a connection enters a phase.
+
+        The wait begins with the connection or with the end of its last request; what a client
+        sends of the next one does not begin it anew.
+        """
+        if after is Phase.HANDLING:
+            self.waiting.pop(connection, None)
+        elif before is Phase.HANDLING or connection not in self.waiting:
+            self.waiting[connection] = None
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Stop counting a connection as open."""
+        self.connections.discard(connection)
+        self.waiting.pop(connection, None)
+
     def announce_stop(self) -> None:
         """Ask clients to disconnect: all responses from now on carry ``connection: close``."""
         self.is_stopping = True
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -8,6 +8,7 @@
 
 from jaypier.core.address import Address
 from jaypier.wire import server
+from jaypier.wire.capacity import RefusalReason, ServerCapacity
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
@@ -265,6 +266,62 @@
         run_scenario(scenario)
 
 
+class TestMaximumOfConnections:
+    """Three connections at most."""
+
+    def run_scenario(self, scenario) -> None:
+        refusals = []
+
+        async def limited(harness):
+            harness.server.capacity = ServerCapacity(max_connections=3)
+            harness.server.on_refusal = refusals.append
+            await scenario(harness, refusals)
+
+        run_scenario(limited)
+
+    def test_longest_waiting_connection_is_closed_for_a_new_one(self):
+        async def scenario(harness, refusals):
+            pools = [ConnectionPool(harness.address) for _ in range(4)]
+            for pool in (*pools[:3], pools[0], pools[3]):
+                assert (await pool.exchange(REQUEST, 5.0)).body == b"body"
+            await asyncio.sleep(0.05)
+            assert [pool.idle[0].is_reusable for pool in pools] == [True, False, True, True]
+            assert refusals == [RefusalReason.CONNECTIONS]
+
+        self.run_scenario(scenario)
+
+    def test_request_in_progress_is_not_cut_for_a_new_connection(self):
+        async def scenario(harness, refusals):
+            harness.release.clear()
+            async with asyncio.TaskGroup() as group:
+                pools = [ConnectionPool(harness.address) for _ in range(3)]
+                exchanges = [group.create_task(pool.exchange(REQUEST, 9.0)) for pool in pools]
+                while len(harness.server.waiting) or len(harness.server.connections) < 3:
+                    await asyncio.sleep(0.01)
+                with pytest.raises(BrokenExchange):
+                    await ConnectionPool(harness.address).exchange(REQUEST, 5.0)
+                harness.release.set()
+            assert [each.result().body for each in exchanges] == 3 * [b"body"]
+            assert refusals == [RefusalReason.CONNECTIONS]
+
+        self.run_scenario(scenario)
+
+    def test_client_that_dribbles_a_request_gains_no_time(self):
+        async def scenario(harness, refusals):
+            reader, writer = await asyncio.open_connection(
+                harness.address.host, harness.address.port
+            )
+            pools = [ConnectionPool(harness.address) for _ in range(3)]
+            for pool in pools:
+                writer.write(b"G")
+                await pool.exchange(REQUEST, 5.0)
+            assert await reader.read() == b""
+            writer.close()
+            assert all(pool.idle[0].is_reusable for pool in pools)
+
+        self.run_scenario(scenario)
+
+
 class TestChunkedBodies:
     def test_body_takes_memory_by_its_size_not_by_its_chunks(self):
         count = 20_000
