wire: the memory of all clients together is bounded by that of the VM

What callers saw: a process ended, out of memory, with bodies that never end, thousands of short header lines, or whole requests that wait for a silent store. Each connection stayed within its own limits; 4,096 of them on each of five servers did not fit into a VM of 300 MB.

Cause: limits per connection only. A body of 1 MiB, or 16 KiB of header lines that take 390 KB as objects, times the number of connections.

Change: a ClientBudget, one for all servers of a process, knows what each connection holds: its objects, what was read ahead, headers by their number, the body, unread responses, and the kernel's buffer while it is not read, which counts on the VM. Beyond a quarter of the VM's memory (capacity.memory_mb, capacity.client_memory_share) the connections that hold most are refused with 503 and Retry-After, or closed, until an eighth of the budget is free; never one whose request is being handled.

Why it works: the sum is bounded in one place, whatever it consists of, and who holds little is not the one that goes.

--- a/src/jaypier/entry/capacity.py
+++ b/src/jaypier/entry/capacity.py
@@ -52,11 +52,15 @@
 class CapacitySettings:
     """What the daemon may take up on its VM.
 
+    :param memory_mb: memory of the VM, in MB; the process is killed beyond it.
+    :param client_memory_share: share of it that clients may take up.
     :param descriptors: number of file descriptors that the process may open.
     :param client_descriptor_share: share of the sockets that is for connections of clients; the
         others are for the store, the workers and other daemons.
     """
 
+    memory_mb: int = attrs.field(default=300, validator=_at_least(50))
+    client_memory_share: float = attrs.field(default=0.25, validator=_share)
     descriptors: int = attrs.field(default=4100, validator=_at_least(RESERVED_DESCRIPTORS + 100))
     client_descriptor_share: float = attrs.field(default=0.5, validator=_share)
 
@@ -67,6 +71,11 @@
         descriptors = min(self.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         return int((descriptors - RESERVED_DESCRIPTORS) * self.client_descriptor_share)
 
+    @property
+    def max_client_bytes(self) -> int:
+        """Maximum memory that all clients may take up, in bytes."""
+        return int(self.memory_mb * self.client_memory_share * (1 << 20))
+
     def for_server(self, name: ServerName) -> ServerCapacity:
         """Return what the clients of one server may take up."""
         connections = int(self.max_client_connections * CONNECTION_SHARES[name])
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -46,6 +46,7 @@
 from jaypier.relay.transport import FailoverTransport
 from jaypier.scheduling.overload import ACCEPTED, Admission, decide_admission, decode_summary
 from jaypier.scheduling.team_limits import explain_excess
+from jaypier.wire.capacity import ClientBudget
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
 from jaypier.wire.server import Handler, HttpLimits, HttpServer
@@ -85,6 +86,7 @@
         # Other clocks stand still while the VM is suspended, and its authority would outlive that.
         self.clock = BootClock()
         self.metrics = Metrics()
+        self.client_budget = ClientBudget(settings.capacity.max_client_bytes)
         self.refusals = RefusalLog(self.metrics, self.clock)
         self.rng = random.Random()
         self.incarnation = f"{settings.name}/{time.time_ns()}"
@@ -441,6 +443,7 @@
             get_limits,
             self.settings.capacity.for_server(name),
             lambda reason: self.refusals.observe(name, reason),
+            self.client_budget,
         )
 
     async def run(self) -> None:
--- a/src/jaypier/entry/tests/test_capacity.py
+++ b/src/jaypier/entry/tests/test_capacity.py
@@ -3,7 +3,7 @@
 from jaypier.entry.capacity import CapacitySettings, ServerName
 
 
-class TestConnections:
+class TestCapacitySettings:
     def test_each_server_has_its_share_and_the_rest_is_left_for_outgoing_connections(self):
         settings = CapacitySettings(descriptors=1000)
         shares = {name: settings.for_server(name).max_connections for name in ServerName}
@@ -20,9 +20,18 @@
         settings = CapacitySettings(descriptors=300, client_descriptor_share=0.01)
         assert all(settings.for_server(name).max_connections >= 4 for name in ServerName)
 
+    def test_memory_of_clients_is_a_share_of_that_of_the_vm(self):
+        assert CapacitySettings(memory_mb=200).max_client_bytes == 50 << 20
+
     @pytest.mark.parametrize(
         "values",
-        [{"descriptors": 299}, {"client_descriptor_share": 0.0}, {"client_descriptor_share": 1}],
+        [
+            {"memory_mb": 49},
+            {"client_memory_share": 0.95},
+            {"descriptors": 299},
+            {"client_descriptor_share": 0.0},
+            {"client_descriptor_share": 1},
+        ],
     )
     def test_values_out_of_range_are_refused(self, values):
         with pytest.raises(ValueError):
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -55,7 +55,7 @@
 
 
 def _decode_capacity(limits: dict[str, Any]) -> CapacitySettings:
-    names = {"descriptors": "MaxFds"}
+    names = {"memory_mb": "MemoryLimitMb", "descriptors": "MaxFds"}
     return CapacitySettings(
         **{name: int(limits[key]) for name, key in names.items() if key in limits}
     )
--- a/src/jaypier/platform/tests/test_settings.py
+++ b/src/jaypier/platform/tests/test_settings.py
@@ -42,10 +42,12 @@
         assert settings.bounds.lease == 6.0
         assert settings.bounds.restore == 0.6
         assert settings.bounds.grace == 6.0
-        assert settings.capacity.descriptors == 8192
+        assert settings.capacity == CapacitySettings(memory_mb=200, descriptors=8192)
 
     def test_capacity_has_defaults(self, tmp_path):
-        settings = self.load(tmp_path, TEXT.replace("MaxFds = 8192", ""))
+        settings = self.load(
+            tmp_path, TEXT.replace("MaxFds = 8192", "").replace("MemoryLimitMb", "Other")
+        )
         assert settings.capacity == CapacitySettings()
 
     @pytest.mark.parametrize(
--- a/src/jaypier/wire/capacity.py
+++ b/src/jaypier/wire/capacity.py
@@ -1,17 +1,23 @@
 """What the clients of a server may take up, and why they are refused more."""
 
+from abc import ABC, abstractmethod
 from enum import Enum
 
 import attrs
 
+ROOM_SHARE = 0.125
+"""Share of the budget that is freed when it is used up, so that this is rare."""
+
 
 class RefusalReason(Enum):
     """Why a connection was refused or closed before its client was done.
 
-    ``CONNECTIONS``: the server has its maximum of connections.
+    ``CONNECTIONS``: the server has its maximum of connections. ``MEMORY``: the clients of all
+    servers hold as much memory as they may, and this one holds most.
     """
 
     CONNECTIONS = "connections"
+    MEMORY = "memory"
 
 
 @attrs.frozen
@@ -22,3 +28,56 @@
     """
 
     max_connections: int = 4096
+
+
+class ChargedConnection(ABC):
+    """A connection whose memory counts towards a budget."""
+
+    @property
+    @abstractmethod
+    def is_evictable(self) -> bool:
+        """Whether the connection may be closed: no request of its client is being handled."""
+
+    @abstractmethod
+    def evict(self) -> None:
+        """Refuse the request that is being read, if any, and release the memory held for it."""
+
+
+class ClientBudget:
+    """Memory that the clients of all servers of a process may take up together.
+
+    When it is used up, connections are closed or refused, those that hold most first. Clients
+    that send requests of the usual size hold little and are spared.
+
+    :param max_bytes: maximum number of bytes; what objects take beside their bytes is estimated.
+    :ivar held: number of bytes that each connection holds.
+    :ivar held_bytes: their sum.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.held: dict[ChargedConnection, int] = {}
+        self.held_bytes = 0
+        self.is_making_room = False
+
+    def charge(self, connection: ChargedConnection, count: int) -> None:
+        """Record how many bytes a connection holds now; make room if that is too much."""
+        self.held_bytes += count - self.held.get(connection, 0)
+        self.held[connection] = count
+        if self.held_bytes > self.max_bytes and not self.is_making_room:
+            self.make_room()
+
+    def release(self, connection: ChargedConnection) -> None:
+        """Stop counting a connection."""
+        self.held_bytes -= self.held.pop(connection, 0)
+
+    def make_room(self) -> None:
+        """Evict connections, those that hold most first, until ``ROOM_SHARE`` is free."""
+        self.is_making_room = True
+        target = self.max_bytes * (1.0 - ROOM_SHARE)
+        for connection in sorted(self.held, key=self.held.__getitem__, reverse=True):
+            if self.held_bytes <= target:
+                break
+            if connection.is_evictable:
+                connection.evict()
+        self.is_making_room = False
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -9,8 +9,19 @@
 import h11
 
 from jaypier.core.address import Address
-from jaypier.wire.capacity import RefusalReason, ServerCapacity
-from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse, reason_phrase
+from jaypier.wire.capacity import (
+    ChargedConnection,
+    ClientBudget,
+    RefusalReason,
+    ServerCapacity,
+)
+from jaypier.wire.messages import (
+    MAX_BODY_BYTES,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    reason_phrase,
+)
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -35,6 +46,18 @@
 MAX_DISCARDED_BYTES = MAX_BODY_BYTES
 """Number of bytes that are read after an error response, for the client to get the response."""
 
+CONNECTION_BYTES = 8192
+"""Memory of a connection without a request: its objects, in this process and in the kernel."""
+
+HEADER_BYTES = 256
+"""Memory of a header line beside its bytes."""
+
+DEFAULT_BUDGET_BYTES = 75 << 20
+"""Budget of a server that shares it with no other."""
+
+RETRY_HEADERS = [(b"retry-after", b"1")]
+"""Headers of a response to a request that this VM cannot take now."""
+
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -75,13 +98,14 @@
     CLOSING = "closing"
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(asyncio.BufferedProtocol, ChargedConnection):
     """One client connection; it handles one request at a time.
 
     Requests sent ahead stay unread beyond ``MAX_BYTES_AHEAD`` while one is handled or responses are
     not taken.
 
     :param server: the server that accepted the connection.
+    :ivar head_bytes: memory that the line and the headers of the request take.
     :ivar is_write_paused: whether the client has too much to read before the next request.
     :ivar is_read_paused: whether the connection is not read for the time being.
     """
@@ -95,6 +119,7 @@
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.IDLE
         self.request: HttpRequest | None = None
+        self.head_bytes = 0
         self.body = bytearray()
         self.is_write_paused = False
         self.is_read_paused = False
@@ -111,6 +136,7 @@
             return
         self.server.connections.add(self)
         self.enter(Phase.IDLE)
+        self.update_charge()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has disconnected."""
@@ -232,6 +258,35 @@
         except h11.RemoteProtocolError as error:
             self.reject(error.error_status_hint, str(error))
         self.update_reading()
+        self.update_charge()
+
+    def update_charge(self) -> None:
+        """Tell the budget how much memory the connection holds."""
+        if self not in self.server.connections:
+            return
+        held = CONNECTION_BYTES + self.head_bytes + len(self.body) + self.bytes_ahead
+        held += self.transport.get_write_buffer_size()
+        if self.request is not None:
+            held += len(self.request.body)
+        if self.is_read_paused:
+            # What is not read stays in the kernel, and counts as memory of the VM.
+            held += SOCKET_BUFFER_BYTES
+        self.server.budget.charge(self, held)
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether the connection may be closed: no request is being handled."""
+        return self.phase is not Phase.HANDLING
+
+    def evict(self) -> None:
+        """Refuse the request that is being read, or close the connection at once."""
+        self.server.on_refusal(RefusalReason.MEMORY)
+        if self.phase in (Phase.HEAD, Phase.BODY) and not self.is_write_paused:
+            self.reject(503, "not run: this VM has no memory for the request", RETRY_HEADERS)
+            self.http = h11.Connection(h11.SERVER)
+            self.update_charge()
+        else:
+            self.abort()
 
     def update_reading(self) -> None:
         """Pause reading while enough was sent ahead, and resume it afterwards."""
@@ -252,6 +307,7 @@
             self.request = HttpRequest(
                 method, target, list(event.headers), announce_progress=self.announce_progress
             )
+            self.head_bytes = count_head_bytes(event)
             self.enter(Phase.BODY)
             if self.http.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -301,14 +357,15 @@
         self.write(head, h11.Data(data=body), h11.EndOfMessage())
         self.finish_request()
 
-    def reject(self, status: int, message: str) -> None:
+    def reject(self, status: int, message: str, more_headers: Headers | None = None) -> None:
         """Send an error response to a request that could not be read, and close the connection."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = message.encode() + b"\n"
             headers = [(b"content-length", str(len(body)).encode()), (b"connection", b"close")]
+            headers += more_headers or []
             head = h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
             self.write(head, h11.Data(data=body), h11.EndOfMessage())
-        self.request, self.body = None, bytearray()
+        self.request, self.head_bytes, self.body = None, 0, bytearray()
         self.half_close()
 
     def write(self, *events: h11.Event) -> None:
@@ -317,7 +374,7 @@
 
     def finish_request(self) -> None:
         """End the request cycle: close the connection, or wait for the next request."""
-        self.request = None
+        self.request, self.head_bytes = None, 0
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             self.close()
             return
@@ -332,6 +389,12 @@
         self.enter(Phase.HEAD if self.bytes_ahead else Phase.IDLE)
 
 
+def count_head_bytes(head: h11.Request) -> int:
+    """Return the memory that the line and the headers of a request take, in bytes."""
+    lines = sum(len(name) + len(value) + HEADER_BYTES for name, value in head.headers)
+    return len(head.target) + lines
+
+
 class HttpServer:
     """An HTTP server on one address; an async context manager that owns its connections.
 
@@ -341,6 +404,7 @@
     :param get_limits: returns the limits for a new connection.
     :param capacity: what all its clients may take up.
     :param on_refusal: called with the reason of each refusal for want of capacity.
+    :param budget: memory that its clients share with those of other servers of the process.
     :ivar waiting: the connections that wait for their clients, the longest wait first.
     """
 
@@ -352,6 +416,7 @@
         get_limits: Callable[[], HttpLimits] = HttpLimits,
         capacity: ServerCapacity | None = None,
         on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
+        budget: ClientBudget | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -359,6 +424,7 @@
         self.get_limits = get_limits
         self.capacity = capacity or ServerCapacity()
         self.on_refusal = on_refusal
+        self.budget = budget or ClientBudget(DEFAULT_BUDGET_BYTES)
         self.connections: set[ServerConnection] = set()
         self.waiting: dict[ServerConnection, None] = {}
         self.read_buffer = bytearray(READ_BYTES)
@@ -419,6 +485,7 @@
         """Stop counting a connection as open."""
         self.connections.discard(connection)
         self.waiting.pop(connection, None)
+        self.budget.release(connection)
 
     def announce_stop(self) -> None:
         """Ask clients to disconnect: all responses from now on carry ``connection: close``."""
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -8,7 +8,7 @@
 
 from jaypier.core.address import Address
 from jaypier.wire import server
-from jaypier.wire.capacity import RefusalReason, ServerCapacity
+from jaypier.wire.capacity import ClientBudget, RefusalReason, ServerCapacity
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
@@ -322,6 +322,39 @@
         self.run_scenario(scenario)
 
 
+class TestMemoryOfClients:
+    def test_largest_request_is_refused_and_others_are_served(self):
+        async def scenario(harness):
+            refusals: list[RefusalReason] = []
+            harness.server.budget = ClientBudget(280_000)
+            harness.server.on_refusal = refusals.append
+            streams = []
+            for size in (100_000, 150_000, 20_000):
+                reader, writer = await asyncio.open_connection(
+                    harness.address.host, harness.address.port
+                )
+                streams.append((reader, writer))
+                writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n")
+                writer.write(bytes(size))
+                await writer.drain()
+            reader, _ = streams[1]
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503") and b"retry-after: 1" in head
+            await reader.read()
+            for (reader, writer), rest in zip(streams[::2], (100_000, 180_000), strict=True):
+                writer.write(bytes(rest))
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                await reader.readexactly(200_000)
+            for _, writer in streams:
+                writer.close()
+            assert refusals == [RefusalReason.MEMORY]
+            while harness.server.connections:
+                await asyncio.sleep(0.01)
+            assert harness.server.budget.held_bytes == 0
+
+        run_scenario(scenario)
+
+
 class TestChunkedBodies:
     def test_body_takes_memory_by_its_size_not_by_its_chunks(self):
         count = 20_000
