wire: requests that are handled at a time are bounded

What callers saw: with a silent store each request of a caller holds a connection to the store beside its own, and its body. Nothing bounded them but the number of connections, so that callers could take the sockets that the leader needs for the workers; and requests in progress, which nothing evicts, could take up the whole memory for clients, so that every other client was refused.

Cause: the handler of a whole request started at once, however many ran.

Change: a server handles as many requests at a time as its capacity says: a quarter of the connections of all clients for callers, an eighth for peers. Requests in progress take up half of the memory for clients at most. Beyond that a request gets 503 and Retry-After at once, as it has not run, on a connection that stays open; the refusal is counted as "requests".

--- a/src/jaypier/entry/capacity.py
+++ b/src/jaypier/entry/capacity.py
@@ -34,6 +34,10 @@
 """Share of each server in the connections of clients. Each has its own, so that clients of one
 server cannot keep those of another out."""
 
+REQUEST_SHARES = {ServerName.CALLERS: 8 / 32, ServerName.PEERS: 4 / 32}
+"""Number of requests that are handled at a time, as a share of the connections of all clients:
+each may need a connection to the store. Those of the other servers need none, or are few."""
+
 
 def _share(instance: object, attribute: attrs.Attribute, value: float) -> None:
     if not 0.0 < value <= 0.9:
@@ -78,5 +82,8 @@
 
     def for_server(self, name: ServerName) -> ServerCapacity:
         """Return what the clients of one server may take up."""
-        connections = int(self.max_client_connections * CONNECTION_SHARES[name])
-        return ServerCapacity(max_connections=max(MIN_CONNECTIONS, connections))
+        connections = max(
+            MIN_CONNECTIONS, int(self.max_client_connections * CONNECTION_SHARES[name])
+        )
+        requests = int(self.max_client_connections * REQUEST_SHARES.get(name, 1.0))
+        return ServerCapacity(connections, max(MIN_CONNECTIONS, min(connections, requests)))
--- a/src/jaypier/entry/tests/test_capacity.py
+++ b/src/jaypier/entry/tests/test_capacity.py
@@ -1,6 +1,6 @@
 import pytest
 
-from jaypier.entry.capacity import CapacitySettings, ServerName
+from jaypier.entry.capacity import RESERVED_DESCRIPTORS, CapacitySettings, ServerName
 
 
 class TestCapacitySettings:
@@ -16,6 +16,13 @@
         }
         assert sum(shares.values()) <= settings.max_client_connections == 400
 
+    def test_requests_of_callers_and_peers_leave_sockets_for_the_leader(self):
+        settings = CapacitySettings(descriptors=1000)
+        requests = {name: settings.for_server(name).max_requests for name in ServerName}
+        assert requests[ServerName.CALLERS] == 100 and requests[ServerName.PEERS] == 50
+        sockets = 1000 - RESERVED_DESCRIPTORS - settings.max_client_connections
+        assert sum(requests.values()) < sockets / 2
+
     def test_every_server_accepts_some_connections(self):
         settings = CapacitySettings(descriptors=300, client_descriptor_share=0.01)
         assert all(settings.for_server(name).max_connections >= 4 for name in ServerName)
--- a/src/jaypier/wire/capacity.py
+++ b/src/jaypier/wire/capacity.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+HANDLED_SHARE = 0.5
+"""Share of the budget that requests may take up while they are handled; nothing evicts these."""
+
 ROOM_SHARE = 0.125
 """Share of the budget that is freed when it is used up, so that this is rare."""
 
@@ -13,11 +16,13 @@
     """Why a connection was refused or closed before its client was done.
 
     ``CONNECTIONS``: the server has its maximum of connections. ``MEMORY``: the clients of all
-    servers hold as much memory as they may, and this one holds most.
+    servers hold as much memory as they may, and this one holds most. ``REQUESTS``: as many requests
+    as may be are being handled.
     """
 
     CONNECTIONS = "connections"
     MEMORY = "memory"
+    REQUESTS = "requests"
 
 
 @attrs.frozen
@@ -25,9 +30,11 @@
     """What the clients of one server may take up.
 
     :param max_connections: maximum number of open connections.
+    :param max_requests: maximum number of requests that are handled at a time.
     """
 
     max_connections: int = 4096
+    max_requests: int = 4096
 
 
 class ChargedConnection(ABC):
@@ -52,12 +59,16 @@
     :param max_bytes: maximum number of bytes; what objects take beside their bytes is estimated.
     :ivar held: number of bytes that each connection holds.
     :ivar held_bytes: their sum.
+    :ivar handled: number of bytes of each request that is being handled, by its connection.
+    :ivar handled_bytes: their sum.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self.held: dict[ChargedConnection, int] = {}
         self.held_bytes = 0
+        self.handled: dict[ChargedConnection, int] = {}
+        self.handled_bytes = 0
         self.is_making_room = False
 
     def charge(self, connection: ChargedConnection, count: int) -> None:
@@ -67,6 +78,18 @@
         if self.held_bytes > self.max_bytes and not self.is_making_room:
             self.make_room()
 
+    def begin_request(self, connection: ChargedConnection, count: int) -> bool:
+        """Return whether a request of some bytes may be handled, and count it if so."""
+        if self.handled_bytes + count > self.max_bytes * HANDLED_SHARE:
+            return False
+        self.handled[connection] = count
+        self.handled_bytes += count
+        return True
+
+    def end_request(self, connection: ChargedConnection) -> None:
+        """Stop counting the request of a connection."""
+        self.handled_bytes -= self.handled.pop(connection, 0)
+
     def release(self, connection: ChargedConnection) -> None:
         """Stop counting a connection."""
         self.held_bytes -= self.held.pop(connection, 0)
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -49,6 +49,9 @@
 CONNECTION_BYTES = 8192
 """Memory of a connection without a request: its objects, in this process and in the kernel."""
 
+REQUEST_BYTES = 8192
+"""Memory of a request while it is handled, beside its headers and its body."""
+
 HEADER_BYTES = 256
 """Memory of a header line beside its bytes."""
 
@@ -143,6 +146,7 @@
         self.server.forget(self)
         self.clear_timer()
         if self.task is not None:
+            self.server.end_request(self)
             self.task.cancel()
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -266,8 +270,8 @@
             return
         held = CONNECTION_BYTES + self.head_bytes + len(self.body) + self.bytes_ahead
         held += self.transport.get_write_buffer_size()
-        if self.request is not None:
-            held += len(self.request.body)
+        if self.phase is Phase.HANDLING:
+            held += REQUEST_BYTES + len(self.request.body)
         if self.is_read_paused:
             # What is not read stays in the kernel, and counts as memory of the VM.
             held += SOCKET_BUFFER_BYTES
@@ -319,8 +323,18 @@
         elif isinstance(event, h11.EndOfMessage):
             self.request.body = bytes(self.body)
             self.body = bytearray()
-            self.enter(Phase.HANDLING)
-            self.task = asyncio.get_running_loop().create_task(self.handle(self.request))
+            self.begin_handling(self.request)
+
+    def begin_handling(self, request: HttpRequest) -> None:
+        """Hand a whole request to the handler, or refuse it while too many are being handled."""
+        held = REQUEST_BYTES + self.head_bytes + len(request.body)
+        if not self.server.begin_request(self, held):
+            self.server.on_refusal(RefusalReason.REQUESTS)
+            body = b"not run: too many requests are being handled\n"
+            self.send_response(request, HttpResponse(503, RETRY_HEADERS, body))
+            return
+        self.enter(Phase.HANDLING)
+        self.task = asyncio.get_running_loop().create_task(self.handle(request))
 
     async def handle(self, request: HttpRequest) -> None:
         """Run the handler and send its response, or status 500 if it raises an exception."""
@@ -330,6 +344,7 @@
             self.server.on_handler_error(error)
             response = HttpResponse(500, body=b"internal error\n")
         self.task = None
+        self.server.end_request(self)
         self.send_response(request, response)
         self.process_events()
 
@@ -405,6 +420,7 @@
     :param capacity: what all its clients may take up.
     :param on_refusal: called with the reason of each refusal for want of capacity.
     :param budget: memory that its clients share with those of other servers of the process.
+    :ivar requests: number of requests that are being handled.
     :ivar waiting: the connections that wait for their clients, the longest wait first.
     """
 
@@ -427,6 +443,7 @@
         self.budget = budget or ClientBudget(DEFAULT_BUDGET_BYTES)
         self.connections: set[ServerConnection] = set()
         self.waiting: dict[ServerConnection, None] = {}
+        self.requests = 0
         self.read_buffer = bytearray(READ_BYTES)
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
@@ -470,6 +487,19 @@
         longest_waiting.abort()
         return True
 
+    def begin_request(self, connection: ServerConnection, count: int) -> bool:
+        """Return whether one more request of some bytes may be handled, and count it if so."""
+        if self.requests >= self.capacity.max_requests:
+            return False
+        is_within_budget = self.budget.begin_request(connection, count)
+        self.requests += is_within_budget
+        return is_within_budget
+
+    def end_request(self, connection: ServerConnection) -> None:
+        """Stop counting a request."""
+        self.requests -= 1
+        self.budget.end_request(connection)
+
     def order_by_wait(self, connection: ServerConnection, before: Phase, after: Phase) -> None:
         """Keep ``waiting`` in order when a connection enters a phase.
 
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -138,7 +138,7 @@
         self.max_descriptors = max(self.max_descriptors, count)
 
     async def wait_settled(self) -> None:
-        """Wait until the process has read what it will read: until it uses little processor time."""
+        """Wait until the process uses little processor time: it has read what it will read."""
         for _ in range(int(MAX_SETTLING_SECONDS / SETTLING_SECONDS)):
             before = self.processor_ticks
             await asyncio.sleep(SETTLING_SECONDS)
