wire: a few connections of a server go on in each turn of the event loop

What callers saw: with some hundred clients that send at full speed, the daemon's other work waits for all of them in each turn of the event loop: the readiness probe, the watch of the configuration, the renewal of the leader.

Cause: every connection with input was parsed, and its request begun, in the turn in which it arrived; and one read of small chunks gave tens of thousands of parser events at once.

Change: a server lets 8 connections go on in a turn, 32 parser events each; the others wait in order, unread beyond 16 KiB. Each server has its own queue, so that probes do not wait behind callers. An ordinary request is still parsed in the turn in which it arrives.

--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -22,6 +22,7 @@
     HttpResponse,
     reason_phrase,
 )
+from jaypier.wire.turns import TurnQueue, TurnTaker
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -40,6 +41,9 @@
 READ_BYTES = 16384
 """Largest number of bytes that one read of a connection takes."""
 
+EVENTS_PER_TURN = 32
+"""Number of parser events, such as chunks of a body, that a connection handles in a turn."""
+
 MAX_BYTES_AHEAD = 16384
 """Number of bytes of later requests from which a connection is not read while one is handled."""
 
@@ -101,7 +105,7 @@
     CLOSING = "closing"
 
 
-class ServerConnection(asyncio.BufferedProtocol, ChargedConnection):
+class ServerConnection(asyncio.BufferedProtocol, ChargedConnection, TurnTaker):
     """One client connection; it handles one request at a time.
 
     Requests sent ahead stay unread beyond ``MAX_BYTES_AHEAD`` while one is handled or responses are
@@ -111,6 +115,7 @@
     :ivar head_bytes: memory that the line and the headers of the request take.
     :ivar is_write_paused: whether the client has too much to read before the next request.
     :ivar is_read_paused: whether the connection is not read for the time being.
+    :ivar is_queued: whether it waits for its turn to parse what was read.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -126,6 +131,7 @@
         self.body = bytearray()
         self.is_write_paused = False
         self.is_read_paused = False
+        self.is_queued = False
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.progress_announced_at = float("-inf")
@@ -143,11 +149,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has disconnected."""
+        self.phase = Phase.CLOSING
         self.server.forget(self)
         self.clear_timer()
         if self.task is not None:
             self.server.end_request(self)
             self.task.cancel()
+            self.task = None
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, which all connections of the server share."""
@@ -159,7 +167,7 @@
             self.discard(nbytes)
             return
         self.http.receive_data(bytes(memoryview(self.server.read_buffer)[:nbytes]))
-        self.process_events()
+        self.request_turn()
 
     def eof_received(self) -> bool:
         """Close a half-closed connection, whose client counts as disconnected."""
@@ -174,7 +182,7 @@
         self.is_write_paused = False
         if self.phase is Phase.UNREAD:
             self.begin_next_request()
-            self.process_events()
+            self.request_turn()
 
     @property
     def is_idle(self) -> bool:
@@ -246,21 +254,45 @@
         self.transport.abort()
         self.server.forget(self)
 
+    def request_turn(self) -> None:
+        """Parse what was read now, or in a later turn of the event loop."""
+        if self.is_queued:
+            return
+        if self.server.turns.request(self):
+            self.process_events()
+        else:
+            self.is_queued = True
+        self.update()
+
+    def take_turn(self) -> None:
+        """Parse what was read."""
+        self.is_queued = False
+        self.process_events()
+        self.update()
+
     def process_events(self) -> None:
-        """Read parser events until a request is complete or more bytes are needed."""
+        """Read parser events until a request is complete, the turn ends or bytes are missing."""
         try:
-            while self.phase in (Phase.IDLE, Phase.HEAD, Phase.BODY):
+            for _ in range(EVENTS_PER_TURN):
+                if self.phase not in (Phase.IDLE, Phase.HEAD, Phase.BODY):
+                    return
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     if self.phase is Phase.IDLE and self.bytes_ahead:
                         self.enter(Phase.HEAD)
-                    break
+                    return
                 if isinstance(event, h11.ConnectionClosed):
                     self.close()
-                    break
+                    return
                 self.handle_event(event)
         except h11.RemoteProtocolError as error:
             self.reject(error.error_status_hint, str(error))
+            return
+        self.is_queued = True
+        self.server.turns.append(self)
+
+    def update(self) -> None:
+        """Pause or resume reading, and tell the budget what the connection holds."""
         self.update_reading()
         self.update_charge()
 
@@ -294,7 +326,7 @@
 
     def update_reading(self) -> None:
         """Pause reading while enough was sent ahead, and resume it afterwards."""
-        is_waiting = self.phase in (Phase.HANDLING, Phase.UNREAD)
+        is_waiting = self.is_queued or self.phase in (Phase.HANDLING, Phase.UNREAD)
         is_read_paused = is_waiting and self.bytes_ahead >= MAX_BYTES_AHEAD
         if is_read_paused == self.is_read_paused:
             return
@@ -343,10 +375,16 @@
         except Exception as error:
             self.server.on_handler_error(error)
             response = HttpResponse(500, body=b"internal error\n")
+        if self.task is None:
+            # The client has disconnected, and the handler did not end at its cancellation.
+            return
         self.task = None
         self.server.end_request(self)
         self.send_response(request, response)
-        self.process_events()
+        if self.bytes_ahead:
+            self.request_turn()
+        else:
+            self.update()
 
     def announce_progress(self) -> None:
         """Send the interim response 102 to a client that waits for the handler."""
@@ -421,6 +459,7 @@
     :param on_refusal: called with the reason of each refusal for want of capacity.
     :param budget: memory that its clients share with those of other servers of the process.
     :ivar requests: number of requests that are being handled.
+    :ivar turns: lets a few connections at a time parse what was read.
     :ivar waiting: the connections that wait for their clients, the longest wait first.
     """
 
@@ -444,6 +483,7 @@
         self.connections: set[ServerConnection] = set()
         self.waiting: dict[ServerConnection, None] = {}
         self.requests = 0
+        self.turns = TurnQueue()
         self.read_buffer = bytearray(READ_BYTES)
         self.is_stopping = False
         self.listener: asyncio.Server | None = None
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of client and server with each other over loopback sockets."""
 
 import asyncio
+import itertools
 import socket
 import tracemalloc
 
@@ -13,6 +14,7 @@
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
 from jaypier.wire.server import HttpLimits, HttpServer
+from jaypier.wire.turns import CONNECTIONS_PER_TURN
 
 REQUEST = HttpRequest("POST", "/x", [], b"body")
 
@@ -404,6 +406,65 @@
         run_scenario(scenario)
 
 
+class TestTurns:
+    """Other tasks and servers of the process, while many clients press one server."""
+
+    CLIENTS = 64
+
+    async def connect(self, harness, data: bytes) -> list[asyncio.StreamWriter]:
+        streams = [
+            await asyncio.open_connection(harness.address.host, harness.address.port)
+            for _ in range(self.CLIENTS)
+        ]
+        while len(harness.server.connections) < self.CLIENTS:
+            await asyncio.sleep(0.01)
+        for _, writer in streams:
+            writer.write(data)
+        return [writer for _, writer in streams]
+
+    async def count_between_turns(self, get_count, total: int) -> int:
+        """Return by how much a count grows at most in one turn of the event loop."""
+        counts = [get_count()]
+        while counts[-1] < total:
+            await asyncio.sleep(0)
+            counts.append(get_count())
+        return max(after - before for before, after in itertools.pairwise(counts))
+
+    def test_few_requests_are_begun_in_a_turn_of_the_event_loop(self):
+        async def scenario(harness):
+            handled = []
+
+            async def handle(request: HttpRequest) -> HttpResponse:
+                handled.append(request)
+                return HttpResponse(200)
+
+            harness.server.handler = handle
+            writers = await self.connect(harness, 10 * b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            total = 10 * self.CLIENTS
+            most = await self.count_between_turns(lambda: len(handled), total)
+            assert most <= 2 * CONNECTIONS_PER_TURN
+            assert len(handled) == total
+            for writer in writers:
+                writer.close()
+
+        run_scenario(scenario)
+
+    def test_few_chunks_are_parsed_in_a_turn_of_the_event_loop(self):
+        async def scenario(harness):
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            writers = await self.connect(harness, head + 1000 * b"1\r\nx\r\n")
+
+            def count_chunks() -> int:
+                return sum(len(each.body) for each in harness.server.connections)
+
+            most = await self.count_between_turns(count_chunks, 1000 * self.CLIENTS)
+            assert most <= 2 * CONNECTIONS_PER_TURN * server.EVENTS_PER_TURN
+            for writer in writers:
+                writer.close()
+
+        run_scenario(scenario)
+
+
 class TestChunkedBodies:
     def test_body_takes_memory_by_its_size_not_by_its_chunks(self):
         count = 20_000
