wire: requests sent ahead are answered during a graceful stop

What callers saw: of several requests sent ahead on one connection, only the one being handled was answered once a graceful stop had begun; the others had been read whole, and the connection ended without their responses.

Cause: every response since the stop carried "connection: close", and the connection was closed behind it with what had been read ahead.

Change: only the response to the last request that was read carries it.

Evidence: the test with three requests: one response before, three now.

--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -401,7 +401,7 @@
         if self.transport.is_closing():
             return
         headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
-        if self.server.is_stopping:
+        if self.server.is_stopping and not self.bytes_ahead:
             headers.append((b"connection", b"close"))
         head = h11.Response(
             status_code=response.status, headers=headers, reason=reason_phrase(response.status)
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -506,6 +506,25 @@
 
         run_scenario(scenario)
 
+    def test_requests_sent_ahead_get_their_responses(self):
+        async def scenario(harness):
+            harness.release.clear()
+            reader, writer = await asyncio.open_connection(
+                harness.address.host, harness.address.port
+            )
+            writer.write(3 * b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody")
+            await harness.entered.wait()
+            draining = asyncio.create_task(harness.server.drain(10.0))
+            await asyncio.sleep(0)
+            harness.release.set()
+            text = await reader.read()
+            assert text.count(b"HTTP/1.1 200") == 3
+            assert text.count(b"connection: close") == 1
+            assert await draining == 0
+            writer.close()
+
+        run_scenario(scenario)
+
     def test_new_connections_are_refused_and_idle_ones_closed(self):
         async def scenario(harness):
             await harness.pool.exchange(REQUEST, 5.0)
