wire: what follows a response does not answer the next request

What callers saw: nothing yet. A worker or a proxy that sends two responses to one request would have had the second taken as the answer to the next request on that connection, for example a start that was refused taken as accepted.

Cause: the client reused a connection on which more than the response had arrived; the parser kept the rest for the next exchange.

Change: such a connection is closed.

Evidence: the test with two responses got the second one for its second request before; it gets the first of a new connection now.

--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -191,7 +191,9 @@
 
     def finish_exchange(self) -> None:
         """Make the connection ready for the next exchange, or close it."""
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        # What follows the response belongs to no request, and must not count as the next response.
+        if is_done and not self.http.trailing_data[0]:
             self.http.start_next_cycle()
             self.idle_since = asyncio.get_running_loop().time()
         else:
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -8,7 +8,7 @@
 from jaypier.core.address import Address
 from jaypier.wire.client import PART_TIMEOUT_SECONDS, ConnectionPool
 from jaypier.wire.errors import ExchangeTimeout
-from jaypier.wire.messages import HttpRequest
+from jaypier.wire.messages import HttpRequest, HttpResponse
 
 REQUEST = HttpRequest("GET", "/rows")
 
@@ -85,3 +85,27 @@
                     await pool.exchange(REQUEST, 0.2)
 
         asyncio.run(scenario())
+
+
+class TestOddServers:
+    """Servers that do not keep to the protocol, such as a worker of somebody else."""
+
+    async def ask(self, responses: bytes, count: int) -> list[HttpResponse]:
+        """Return the responses to requests of a server that sends the same for each connection."""
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(responses)
+            await reader.read()
+            writer.close()
+
+        listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+        async with listener:
+            address = Address(*listener.sockets[0].getsockname()[:2])
+            async with ConnectionPool(address) as pool:
+                return [await pool.exchange(REQUEST, 5.0) for _ in range(count)]
+
+    def test_second_response_does_not_answer_the_next_request(self):
+        first = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst"
+        responses = asyncio.run(self.ask(first + first.replace(b"first", b"other"), 2))
+        assert [each.body for each in responses] == 2 * [b"first"]
