wire: interim responses do not keep an exchange open for ever

A worker that sends status 102 again and again held an exchange of the leader, its connection and its task for as long as it liked.

Cause: each interim response begins the time to wait anew, without a limit.

--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -50,6 +50,7 @@
         self.received_bytes = 0
         self.timeout = 0.0
         self.began_at = 0.0
+        self.latest_end = 0.0
         self.last_received_at = 0.0
         self.on_progress: ProgressCallback | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -147,6 +148,9 @@
         ]
         self.timeout = timeout
         self.began_at = self.last_received_at = loop.time()
+        # The time that the largest response takes; interim responses extend it no further.
+        largest_seconds = self.max_body_bytes / MIN_BYTES_PER_SECOND
+        self.latest_end = self.began_at + timeout + PART_TIMEOUT_SECONDS + largest_seconds
         self.timer = loop.call_later(timeout, self.check_progress)
         try:
             self.send(request, headers)
@@ -178,6 +182,7 @@
         due = self.timeout + min(
             self.last_received_at, self.began_at + self.received_bytes / MIN_BYTES_PER_SECOND
         )
+        due = min(due, self.latest_end)
         if loop.time() < due:
             self.timer = loop.call_at(due, self.check_progress)
         elif self.waiter is not None and not self.waiter.done():
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -1,11 +1,13 @@
 """Tests of the client's time-outs over loopback sockets."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 
 import pytest
 
 from jaypier.core.address import Address
+from jaypier.wire import client
 from jaypier.wire.client import PART_TIMEOUT_SECONDS, ConnectionPool
 from jaypier.wire.errors import ExchangeTimeout
 from jaypier.wire.messages import HttpRequest, HttpResponse
@@ -109,3 +111,24 @@
         first = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst"
         responses = asyncio.run(self.ask(first + first.replace(b"first", b"other"), 2))
         assert [each.body for each in responses] == 2 * [b"first"]
+
+    def test_interim_responses_do_not_keep_an_exchange_open_for_ever(self, monkeypatch):
+        monkeypatch.setattr(client, "MIN_BYTES_PER_SECOND", 1 << 21)
+        monkeypatch.setattr(client, "PART_TIMEOUT_SECONDS", 0.3)
+
+        async def scenario() -> None:
+            async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                with contextlib.suppress(ConnectionError):
+                    while True:
+                        writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+                        await writer.drain()
+                        await asyncio.sleep(0.05)
+
+            listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+            async with listener:
+                address = Address(*listener.sockets[0].getsockname()[:2])
+                async with ConnectionPool(address) as pool:
+                    with pytest.raises(ExchangeTimeout):
+                        await asyncio.wait_for(pool.exchange(REQUEST, 0.3), 10.0)
+
+        asyncio.run(scenario())
