--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -45,8 +45,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future | None = None
         self.response: HttpResponse | None = None
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.received_bytes = 0
         self.timeout = 0.0
         self.began_at = 0.0
@@ -96,16 +95,16 @@
             elif isinstance(event, h11.Response):
                 self.response = HttpResponse(event.status_code, list(event.headers))
             elif isinstance(event, h11.Data):
-                self.body_size += len(event.data)
-                if self.body_size > self.max_body_bytes:
+                if len(self.body) + len(event.data) > self.max_body_bytes:
                     self.fail_exchange(
                         f"{self.address} sent a body over {self.max_body_bytes} bytes"
                     )
                     self.transport.abort()
                     return
-                self.body.append(bytes(event.data))
+                self.body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                self.response.body = b"".join(self.body)
+                self.response.body = bytes(self.body)
+                self.body = bytearray()
                 self.waiter.set_result(self.response)
                 return
             else:
@@ -138,7 +137,7 @@
         """
         loop = asyncio.get_running_loop()
         self.waiter = loop.create_future()
-        self.response, self.body, self.body_size = None, [], 0
+        self.response, self.body = None, bytearray()
         self.received_bytes = 0
         self.on_progress = on_progress
         headers = [
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 from collections.abc import Iterable
 
+import h11
 import pytest
 
 from jaypier.core.address import Address
@@ -132,3 +134,24 @@
                         await asyncio.wait_for(pool.exchange(REQUEST, 0.3), 10.0)
 
         asyncio.run(scenario())
+
+    def test_chunked_body_takes_memory_by_its_size_not_by_its_chunks(self):
+        count = 20_000
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+        async def scenario() -> int:
+            body = count * b"2\r\nxx\r\n"
+            async with SlowServer(0, [], 0.0) as pool:
+                connection = client.ClientConnection(pool.address)
+                connection.http.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+                connection.http.send(h11.EndOfMessage())
+                connection.waiter = asyncio.get_running_loop().create_future()
+                connection.data_received(head)
+                tracemalloc.start()
+                for start in range(0, len(body), 7000):
+                    connection.data_received(body[start : start + 7000])
+                used = tracemalloc.get_traced_memory()[0]
+                tracemalloc.stop()
+                return used
+
+        assert asyncio.run(scenario()) < 8 * 2 * count
