wire: the connections of a burst are closed once they are stale

What callers saw: nothing yet. After a burst of requests the daemon kept as many connections to the store as there had been requests at a time, each a descriptor, until the other side closed them.

Cause: the pool reuses the newest connection first and looked at an older one only when all newer ones were in use.

Change: after each exchange the stale ones at the other end are closed.

Evidence: the test kept 20 idle connections before, 1 now.

--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -289,8 +289,15 @@
         response = await connection.exchange(request, timeout, on_progress)
         if connection.is_reusable:
             self.idle.append(connection)
+            self.close_stale()
         return response
 
+    def close_stale(self) -> None:
+        """Close the connections that have not been used for too long."""
+        earliest = asyncio.get_running_loop().time() - self.max_idle_seconds
+        while self.idle and self.idle[0].idle_since <= earliest:
+            self.idle.popleft().close()
+
     def close(self) -> None:
         """Close every idle connection."""
         while self.idle:
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -155,3 +155,27 @@
                 return used
 
         assert asyncio.run(scenario()) < 8 * 2 * count
+
+
+class TestIdleConnections:
+    def test_connections_of_a_burst_are_closed_once_they_are_stale(self):
+        async def scenario() -> None:
+            async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                    while await reader.readuntil(b"\r\n\r\n"):
+                        await asyncio.sleep(0.02)
+                        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                writer.close()
+
+            listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+            async with listener:
+                address = Address(*listener.sockets[0].getsockname()[:2])
+                async with ConnectionPool(address, max_idle_seconds=0.2) as pool:
+                    await asyncio.gather(*(pool.exchange(REQUEST, 5.0) for _ in range(20)))
+                    assert len(pool.idle) == 20
+                    for _ in range(10):
+                        await asyncio.sleep(0.05)
+                        await pool.exchange(REQUEST, 5.0)
+                    assert len(pool.idle) == 1
+
+        asyncio.run(scenario())
