core: the token bucket of the log is a class of its own

Cause: other events that clients bring about need the same limit.

Change: core/token_bucket.py, used by the log writer; no change of behaviour.

--- a/src/jaypier/entry/logs.py
+++ b/src/jaypier/entry/logs.py
@@ -8,6 +8,7 @@
 import structlog
 
 from jaypier.core.clock import Clock, MonotonicClock
+from jaypier.core.token_bucket import TokenBucket
 from jaypier.entry.settings import LogSettings
 
 LINES_PER_SECOND = 400
@@ -32,21 +33,19 @@
     :param descriptor: file descriptor of a pipe, file or terminal.
     :param clock: clock of the rate limit, the monotonic clock by default.
     :ivar buffer: bytes that the reader has not taken yet.
-    :ivar tokens: lines that may be written at once, the level of the token bucket.
+    :ivar bucket: limits the rate of lines.
     :ivar dropped: lines dropped since the last written one.
     """
 
     def __init__(self, descriptor: int, clock: Clock | None = None) -> None:
         self.descriptor = descriptor
-        self.clock = clock or MonotonicClock()
         self.buffer = bytearray()
-        self.tokens = float(BURST_LINES)
-        self.refilled_at = self.clock.now()
+        self.bucket = TokenBucket(clock or MonotonicClock(), LINES_PER_SECOND, BURST_LINES)
         self.dropped = 0
 
     def msg(self, message: str) -> None:
         """Write a line, or drop it at the limits."""
-        if not self.take_token():
+        if len(self.buffer) > MAX_BUFFER_BYTES or not self.bucket.take():
             self.dropped += 1
             return
         if self.dropped:
@@ -58,17 +57,6 @@
 
     log = debug = info = warning = error = critical = exception = msg
 
-    def take_token(self) -> bool:
-        """Take a token for one line; return whether the line may be written."""
-        now = self.clock.now()
-        refill = (now - self.refilled_at) * LINES_PER_SECOND
-        self.tokens = min(float(BURST_LINES), self.tokens + refill)
-        self.refilled_at = now
-        if self.tokens < 1 or len(self.buffer) > MAX_BUFFER_BYTES:
-            return False
-        self.tokens -= 1
-        return True
-
     def flush(self) -> None:
         """Write as much of the buffer as is possible without blocking."""
         while self.buffer and select.select([], [self.descriptor], [], 0)[1]:
