entry: reports of the metrics address are computed a few times a second

What callers saw: nothing yet; found by asking of the metrics address what work is done before a request is known to be wanted. Anybody who reaches it could keep the daemon's event loop busy: the percentiles of eight histograms take 30 ms on this machine, for each request, and a dump of a leader more.

Cause: each request computed its report anew.

Change: metrics and dump are computed at most four times a second and returned again meanwhile; /explain/ID, which differs by its id, is limited to 10 a second and a burst of 20, beyond which it gets 503 and Retry-After. The response of a busy process is built in one place, wire/messages.py.

Evidence: 100 requests for each report: 100 computations before, bound 10; 100 requests for an explanation: none was refused before, now 60 to 80.

--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -32,7 +32,7 @@
 from jaypier.platform.decoding import describe_error
 from jaypier.scheduling.overload import ACCEPTED, Admission
 from jaypier.scheduling.team_limits import explain_excess
-from jaypier.wire.messages import HttpRequest, HttpResponse
+from jaypier.wire.messages import RETRY_AFTER_SECONDS, HttpRequest, HttpResponse
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
@@ -51,10 +51,6 @@
 STORE_RETRY_DELAY_SECONDS = 0.1
 """Mean delay before a request to the store is retried."""
 
-RETRY_AFTER_SECONDS = 1
-"""Value of the ``retry-after`` header while no VM can serve the request: the shortest time above
-zero that it can express."""
-
 ISOLATED_RETRY_AFTER_SECONDS = 0
 """The same while only this VM cannot serve it: another one can at once."""
 
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -15,10 +15,12 @@
 from jaypier.core.codec import to_plain
 from jaypier.core.metrics import Metrics
 from jaypier.core.supervision import supervise
+from jaypier.core.token_bucket import TokenBucket
 from jaypier.entry.caller_api import CallerApi
 from jaypier.entry.capacity import ServerName
 from jaypier.entry.configuration import OperatorSource
 from jaypier.entry.refusals import RefusalLog
+from jaypier.entry.reports import ReportCache, format_metrics
 from jaypier.entry.requests import assume_submitted, decode_request
 from jaypier.entry.settings import VmSettings
 from jaypier.entry.watcher import ConfigurationWatcher
@@ -48,7 +50,7 @@
 from jaypier.scheduling.team_limits import explain_excess
 from jaypier.wire.capacity import ClientBudget
 from jaypier.wire.client import ConnectionPool
-from jaypier.wire.messages import HttpRequest, HttpResponse, json_response
+from jaypier.wire.messages import HttpRequest, HttpResponse, busy_response, json_response
 from jaypier.wire.server import Handler, HttpLimits, HttpServer
 
 MAX_READY_CONFIGURATION_AGE_SECONDS = 2.5
@@ -64,6 +66,9 @@
 EXPLAIN_PATH = "/explain/"
 """Path prefix, at the metrics address, of the explanation of a job."""
 
+EXPLANATIONS_PER_SECOND = 10.0
+"""Rate at which the metrics address, where nobody is authenticated, explains jobs."""
+
 log = structlog.get_logger()
 
 
@@ -86,6 +91,10 @@
         # Other clocks stand still while the VM is suspended, and its authority would outlive that.
         self.clock = BootClock()
         self.metrics = Metrics()
+        self.reports = ReportCache(self.clock)
+        self.explanations = TokenBucket(
+            self.clock, EXPLANATIONS_PER_SECOND, 2 * EXPLANATIONS_PER_SECOND
+        )
         self.client_budget = ClientBudget(settings.capacity.max_client_bytes)
         self.refusals = RefusalLog(self.metrics, self.clock)
         self.rng = random.Random()
@@ -146,17 +155,13 @@
     async def handle_metrics(self, request: HttpRequest) -> HttpResponse:
         """Serve counters and histograms as text, ``/dump`` and ``/explain/ID`` as JSON."""
         if request.path == "/dump":
-            return json_response(200, msgspec.json.encode(self.dump()))
+            body = self.reports.get("dump", lambda: msgspec.json.encode(self.dump()))
+            return json_response(200, body)
         if request.path.startswith(EXPLAIN_PATH):
+            if not self.explanations.take():
+                return busy_response("too many explanations are asked for")
             return self.explain(unquote(request.path.removeprefix(EXPLAIN_PATH)))
-        lines = [f"{name} {value}" for name, value in sorted(self.metrics.counters.items())]
-        for name, summary in self.metrics.summaries().items():
-            lines.append(f"{name}_count {summary.count}")
-            lines += [
-                f'{name}_ms{{quantile="{label}"}} {value}'
-                for label, value in (("0.5", summary.p50), ("0.99", summary.p99))
-            ]
-        body = ("\n".join(lines) + "\n").encode()
+        body = self.reports.get("metrics", lambda: format_metrics(self.metrics))
         return HttpResponse(200, [(b"content-type", b"text/plain")], body)
 
     def dump(self) -> dict:
--- a/src/jaypier/entry/tests/test_daemon.py
+++ b/src/jaypier/entry/tests/test_daemon.py
@@ -151,3 +151,30 @@
                 body = f'{others[:-1]}, "{name}": {odd}}}'
                 assert daemon.explain_request(body.encode()).status == 422, body
         assert daemon.explain_request(b"{").status == 422
+
+
+class TestReports:
+    """What anybody may ask of the metrics address, as often as they like."""
+
+    @pytest.mark.parametrize(
+        "path, method, name",
+        [("/metrics", "metrics.summaries", "summaries"), ("/dump", "dump", "dump")],
+    )
+    def test_report_is_computed_a_few_times_a_second(self, monkeypatch, path, method, name):
+        daemon = make_daemon(None)
+        owner = daemon.metrics if method.startswith("metrics") else daemon
+        compute, calls = getattr(owner, name), []
+        monkeypatch.setattr(owner, name, lambda: calls.append(1) or compute())
+        responses = [
+            asyncio.run(daemon.handle_metrics(HttpRequest("GET", path))) for _ in range(100)
+        ]
+        assert {each.status for each in responses} == {200}
+        assert len(calls) <= 10
+
+    def test_explanations_are_limited(self):
+        daemon = make_daemon(None)
+        request = HttpRequest("GET", "/explain/00000000000000ab")
+        responses = [asyncio.run(daemon.handle_metrics(request)) for _ in range(100)]
+        refused = [each for each in responses if each.status == 503]
+        assert 60 <= len(refused) <= 80
+        assert {each.header(b"retry-after") for each in refused} == {"1"}
--- a/src/jaypier/wire/messages.py
+++ b/src/jaypier/wire/messages.py
@@ -9,6 +9,10 @@
 
 MAX_BODY_BYTES = 1 << 20
 
+RETRY_AFTER_SECONDS = 1
+"""Value of the ``retry-after`` header of a process that is busy: the shortest time above zero that
+it can express."""
+
 
 @attrs.define
 class HttpRequest:
@@ -77,3 +81,12 @@
 def json_response(status: int, body: bytes, headers: Headers | None = None) -> HttpResponse:
     """Build a response whose body is JSON."""
     return HttpResponse(status, [(b"content-type", b"application/json"), *(headers or [])], body)
+
+
+def busy_response(message: str) -> HttpResponse:
+    """Build the response to a request that was not run and may be sent again.
+
+    :param message: why it was not run.
+    """
+    headers = [(b"retry-after", b"%d" % RETRY_AFTER_SECONDS)]
+    return HttpResponse(503, headers, f"not run: {message}\n".encode())
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -17,9 +17,9 @@
 )
 from jaypier.wire.messages import (
     MAX_BODY_BYTES,
-    Headers,
     HttpRequest,
     HttpResponse,
+    busy_response,
     reason_phrase,
 )
 from jaypier.wire.turns import TurnQueue, TurnTaker
@@ -62,9 +62,6 @@
 DEFAULT_BUDGET_BYTES = 75 << 20
 """Budget of a server that shares it with no other."""
 
-RETRY_HEADERS = [(b"retry-after", b"1")]
-"""Headers of a response to a request that this VM cannot take now."""
-
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -221,7 +218,7 @@
         """Close a connection whose client was idle or slow for too long."""
         self.timer = None
         if self.phase in (Phase.HEAD, Phase.BODY):
-            self.reject(408, "the request did not arrive whole in time")
+            self.reject(HttpResponse(408, body=b"the request did not arrive whole in time\n"))
         elif self.phase is Phase.CLOSING or self.transport.get_write_buffer_size():
             self.transport.abort()
         else:
@@ -286,7 +283,7 @@
                     return
                 self.handle_event(event)
         except h11.RemoteProtocolError as error:
-            self.reject(error.error_status_hint, str(error))
+            self.reject(HttpResponse(error.error_status_hint, body=f"{error}\n".encode()))
             return
         self.is_queued = True
         self.server.turns.append(self)
@@ -318,7 +315,7 @@
         """Refuse the request that is being read, or close the connection at once."""
         self.server.on_refusal(RefusalReason.MEMORY)
         if self.phase in (Phase.HEAD, Phase.BODY) and not self.is_write_paused:
-            self.reject(503, "not run: this VM has no memory for the request", RETRY_HEADERS)
+            self.reject(busy_response("this VM has no memory for the request"))
             self.http = h11.Connection(h11.SERVER)
             self.update_charge()
         else:
@@ -349,7 +346,8 @@
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
             if len(self.body) + len(event.data) > self.limits.max_body_bytes:
-                self.reject(413, f"body exceeds {self.limits.max_body_bytes} bytes")
+                message = f"body exceeds {self.limits.max_body_bytes} bytes\n"
+                self.reject(HttpResponse(413, body=message.encode()))
                 return
             self.body += event.data
         elif isinstance(event, h11.EndOfMessage):
@@ -362,8 +360,7 @@
         held = REQUEST_BYTES + self.head_bytes + len(request.body)
         if not self.server.begin_request(self, held):
             self.server.on_refusal(RefusalReason.REQUESTS)
-            body = b"not run: too many requests are being handled\n"
-            self.send_response(request, HttpResponse(503, RETRY_HEADERS, body))
+            self.send_response(request, busy_response("too many requests are being handled"))
             return
         self.enter(Phase.HANDLING)
         self.task = asyncio.get_running_loop().create_task(self.handle(request))
@@ -400,24 +397,32 @@
         """Send a response and prepare for the next request."""
         if self.transport.is_closing():
             return
-        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
+        more_headers = []
         if self.server.is_stopping and not self.bytes_ahead:
-            headers.append((b"connection", b"close"))
+            more_headers.append((b"connection", b"close"))
+        self.write_response(response, *more_headers, is_head=request.method == "HEAD")
+        self.finish_request()
+
+    def write_response(
+        self, response: HttpResponse, *more_headers: tuple[bytes, bytes], is_head: bool = False
+    ) -> None:
+        """Write a whole response.
+
+        :param is_head: whether the body is left out, as the method of the request is ``HEAD``.
+        """
+        length = (b"content-length", str(len(response.body)).encode())
         head = h11.Response(
-            status_code=response.status, headers=headers, reason=reason_phrase(response.status)
+            status_code=response.status,
+            headers=[*response.headers, length, *more_headers],
+            reason=reason_phrase(response.status),
         )
-        body = b"" if request.method == "HEAD" else response.body
+        body = b"" if is_head else response.body
         self.write(head, h11.Data(data=body), h11.EndOfMessage())
-        self.finish_request()
 
-    def reject(self, status: int, message: str, more_headers: Headers | None = None) -> None:
-        """Send an error response to a request that could not be read, and close the connection."""
+    def reject(self, response: HttpResponse) -> None:
+        """Send the response to a request that is not read any further, and end the connection."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = message.encode() + b"\n"
-            headers = [(b"content-length", str(len(body)).encode()), (b"connection", b"close")]
-            headers += more_headers or []
-            head = h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
-            self.write(head, h11.Data(data=body), h11.EndOfMessage())
+            self.write_response(response, (b"connection", b"close"))
         self.request, self.head_bytes, self.body = None, 0, bytearray()
         self.half_close()
 
