logs: events that anybody can bring about are limited one by one

What callers saw: nothing yet. The log has a limit for all lines together, 400 a second: a client that sends requests with unknown tokens used it up, and the lines of the leader were dropped, when they would have been needed most. A path of 16 KiB stood in the line as a whole.

Cause: one line for each such request.

Change: events that need no valid key or token, and failures of handlers, are logged with limited=True: 20 at once, two a second after that, for each event; the next line tells how many were left out. Paths are cut at 200 characters.

Evidence: 1,000 requests without a token at the operators' address of a real process: 1,000 lines before, bound 100.

--- a/src/jaypier/entry/caller_api.py
+++ b/src/jaypier/entry/caller_api.py
@@ -162,7 +162,10 @@
             return ""
         if self.watcher.age > self.max_configuration_age_seconds:
             log.info(
-                "request refused, configuration stale", path=request.path, age=self.watcher.age
+                "request refused, configuration stale",
+                path=request.short_path,
+                age=self.watcher.age,
+                limited=True,
             )
             return error_response(503, "keys cannot be confirmed now", self.retry_after)
         team = configuration.find_team_by_key(get_api_key(request))
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -272,7 +272,7 @@
     def on_handler_error(self, error: Exception) -> None:
         """Count and log an exception that a request handler raised."""
         self.metrics.count("http.handler_errors")
-        log.error("request handler failed", exc_info=error)
+        log.error("request handler failed", exc_info=error, limited=True)
 
     def on_task_failure(self, name: str, error: Exception) -> None:
         """Count and log the failure of a background task, which is then restarted."""
--- a/src/jaypier/entry/logs.py
+++ b/src/jaypier/entry/logs.py
@@ -4,6 +4,7 @@
 import os
 import select
 import sys
+from collections import Counter
 
 import structlog
 
@@ -17,6 +18,12 @@
 BURST_LINES = 2000
 """Size of the token bucket, in lines: the burst of a leader takeover with many workers."""
 
+LIMITED_EVENTS_PER_SECOND = 2.0
+"""Sustained rate limit of each event that anybody can bring about."""
+
+LIMITED_EVENTS_BURST = 20
+"""Number of such events that may be logged at once."""
+
 MAX_BUFFER_BYTES = 256 * 1024
 """Buffer size in bytes beyond which lines are dropped while the reader is slow."""
 
@@ -69,6 +76,39 @@
             del self.buffer[:written]
 
 
+class EventLimiter:
+    """A processor that limits events which anybody can bring about, so that others stay visible.
+
+    Those events carry ``limited=True``; the next line that is written says how many were left out.
+
+    :ivar buckets: rate limit of each event, by its name, which is constant.
+    """
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or MonotonicClock()
+        self.buckets: dict[str, TokenBucket] = {}
+        self.left_out: Counter[str] = Counter()
+
+    def __call__(self, logger: object, method: str, values: dict) -> dict:
+        """Return the event unchanged, or drop it at its limit.
+
+        :raises structlog.DropEvent: if the event is dropped.
+        """
+        if not values.pop("limited", False):
+            return values
+        event = values["event"]
+        if event not in self.buckets:
+            self.buckets[event] = TokenBucket(
+                self.clock, LIMITED_EVENTS_PER_SECOND, LIMITED_EVENTS_BURST
+            )
+        if not self.buckets[event].take():
+            self.left_out[event] += 1
+            raise structlog.DropEvent
+        if left_out := self.left_out.pop(event, 0):
+            values["left_out"] = left_out
+        return values
+
+
 def configure_logging(settings: LogSettings, daemon_id: str) -> None:
     """Configure ``structlog`` to write to standard output, as JSON or for a console.
 
@@ -82,6 +122,7 @@
     writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
+            EventLimiter(),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
--- a/src/jaypier/entry/tests/test_logs.py
+++ b/src/jaypier/entry/tests/test_logs.py
@@ -1,8 +1,17 @@
+import contextlib
 import fcntl
 import os
 
+import structlog
+
 from jaypier.core.clock import VirtualClock
-from jaypier.entry.logs import BURST_LINES, MAX_BUFFER_BYTES, LineWriter
+from jaypier.entry.logs import (
+    BURST_LINES,
+    LIMITED_EVENTS_BURST,
+    MAX_BUFFER_BYTES,
+    EventLimiter,
+    LineWriter,
+)
 
 
 class TestLineWriter:
@@ -41,3 +50,22 @@
         reader, descriptor = os.pipe()
         os.close(reader)
         LineWriter(descriptor).msg("nobody reads this")
+
+
+class TestEventLimiter:
+    def collect(self, clock: VirtualClock, count: int, **values) -> list[dict]:
+        """Pass an event through the processor several times; return those that are not dropped."""
+        limiter, passed = EventLimiter(clock), []
+        for number in range(count):
+            clock.advance(1.0 if number == count - 1 else 0.0)
+            with contextlib.suppress(structlog.DropEvent):
+                passed.append(limiter(None, "info", {"event": "request refused", **values}))
+        return passed
+
+    def test_events_of_clients_are_limited_and_their_number_is_told(self):
+        passed = self.collect(VirtualClock(), 1000, limited=True)
+        assert len(passed) == LIMITED_EVENTS_BURST + 1
+        assert passed[-1] == {"event": "request refused", "left_out": 979}
+
+    def test_other_events_are_not_limited(self):
+        assert len(self.collect(VirtualClock(), 1000)) == 1000
--- a/src/jaypier/operators/api.py
+++ b/src/jaypier/operators/api.py
@@ -122,7 +122,12 @@
                 return error_response(405, f"use {method}")
             operator = self.credentials.authenticate(request)
             if operator is None:
-                log.info("operator request refused", path=request.path, reason="unknown token")
+                log.info(
+                    "operator request refused",
+                    path=request.short_path,
+                    reason="unknown token",
+                    limited=True,
+                )
                 return error_response(401, "unknown token; use an operator's token")
             return await handler(request, unquote(request.path.removeprefix(path)))
         return error_response(404, f"no such path: {request.path!r}")
--- a/src/jaypier/relay/notifier.py
+++ b/src/jaypier/relay/notifier.py
@@ -86,7 +86,7 @@
             row = decode_notification(request.body)
         except Exception as error:
             # A message of another sender may fail in ways that are not foreseen here.
-            log.info("notification rejected", reason=describe_error(error))
+            log.info("notification rejected", reason=describe_error(error), limited=True)
             return HttpResponse(400)
         self.deliver(row)
         return HttpResponse(200)
--- a/src/jaypier/wire/messages.py
+++ b/src/jaypier/wire/messages.py
@@ -9,6 +9,9 @@
 
 MAX_BODY_BYTES = 1 << 20
 
+MAX_LOGGED_CHARACTERS = 200
+"""Longest path in a log line."""
+
 RETRY_AFTER_SECONDS = 1
 """Value of the ``retry-after`` header of a process that is busy: the shortest time above zero that
 it can express."""
@@ -39,6 +42,11 @@
         """The target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def short_path(self) -> str:
+        """The beginning of the path, for log lines."""
+        return self.path[:MAX_LOGGED_CHARACTERS]
+
     def header(self, name: bytes, default: str = "") -> str:
         """Return the value of the first header called ``name`` (lower case), or ``default``."""
         return find_header(self.headers, name, default)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -222,6 +222,24 @@
         asyncio.run(scenario())
 
 
+class TestLogs:
+    """Log lines that a client without a token brings about."""
+
+    def test_unknown_tokens_do_not_fill_the_log(self, tmp_path):
+        request = b"GET /v1/daemon HTTP/1.1\r\nHost: a\r\n\r\n"
+
+        async def scenario() -> None:
+            async with Deployment(tmp_path, ConfigurationSource.NOTES, daemons=1) as deployment:
+                reader, writer = await asyncio.open_connection(HOST, deployment.ports[0].operators)
+                writer.write(1000 * request)
+                for _ in range(1000):
+                    assert (await reader.readuntil(b"operator's token")).count(b"401") == 1
+                writer.close()
+                assert deployment.read_log(0).count("operator request refused") < 100
+
+        asyncio.run(scenario())
+
+
 class TestRequestsWithinTheLimits:
     """Ordinary clients beside a crowd."""
 
