relay: a notification longer than any row is not decoded

What callers saw: nothing yet; found by asking what is decoded before it is known to be wanted. The address for other daemons takes bodies of 8 MiB, for writes to the store that it relays, and decoded as long a notification: JSON of empty lists takes 20 times its length as objects.

Cause: one limit for both kinds of requests.

Change: a notification over 256 KiB, four times the longest row, gets 413.

--- a/src/jaypier/relay/notifier.py
+++ b/src/jaypier/relay/notifier.py
@@ -25,6 +25,9 @@
 MAX_PENDING_NOTIFICATIONS = 64
 """Notifications that may wait for a response at a time; further ones are dropped."""
 
+MAX_NOTIFICATION_BYTES = 1 << 18
+"""Longest notification, several times the longest row: decoded, it takes many times its length."""
+
 MAX_VERSION = 1 << 53
 """Highest valid version of a row."""
 
@@ -81,7 +84,9 @@
             log.debug("leader not notified", leader=name, key=row.key, reason=str(error))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Deliver a row that a peer has sent."""
+        """Deliver a row that a peer has sent; status 413 if it is longer than rows are."""
+        if len(request.body) > MAX_NOTIFICATION_BYTES:
+            return HttpResponse(413)
         try:
             row = decode_notification(request.body)
         except Exception as error:
--- a/src/jaypier/relay/tests/test_notifier.py
+++ b/src/jaypier/relay/tests/test_notifier.py
@@ -8,6 +8,7 @@
 from jaypier.core.codec import to_plain
 from jaypier.platform import Row
 from jaypier.relay.notifier import (
+    MAX_NOTIFICATION_BYTES,
     MAX_PENDING_NOTIFICATIONS,
     NOTIFICATION_PATH,
     LeaderNotifier,
@@ -109,3 +110,7 @@
     )
     def test_malformed_notification_is_rejected(self, body):
         assert self.receive(body) == (400, [])
+
+    def test_oversized_notification_is_not_decoded(self):
+        values = {"key": "jobs/1", "value": MAX_NOTIFICATION_BYTES * "x", "version": 1}
+        assert self.receive(msgspec.json.encode(values)) == (413, [])
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -194,6 +194,23 @@
     )
 
 
+class TestDecoding:
+    """Bodies whose values take many times their bytes."""
+
+    @pytest.mark.parametrize(
+        "server, path, size",
+        [
+            ("peers", b"/stored-rows", 7_900_000),
+            ("callers", b"/common/00000000000000a1", 1_000_000),
+        ],
+    )
+    def test_memory_stays_within_that_of_the_vm(self, tmp_path, server, path, size):
+        body = b'{"key": "jobs/1", "version": 1, "value": [' + size // 3 * b"[]," + b"0]}"
+        head = b"POST " + path + b" HTTP/1.1\r\n" + HEADERS
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        press(tmp_path, server, CrowdPlan(2, head + length + body))
+
+
 class TestNames:
     """Names that a client makes up."""
 
