entry: errors that the event loop reports go to the bounded log

What callers saw: nothing. Operators saw lines without structure on standard error, once a second for each server without a free descriptor, written by a call that blocks when nobody reads them.

Cause: without a handler of its own the event loop reports failed accepts and the like through the logging module.

Evidence: TestDescriptorsOfTheSystem, a process with 60 descriptors and a crowd of 100 clients: no event in the log before, some now; the process lives, is ready and serves a job before and after.

--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -39,7 +39,7 @@
 from jaypier.operators.credentials import Credentials
 from jaypier.platform import PlatformUnavailable, Row
 from jaypier.platform.callers import BadRequest
-from jaypier.platform.decoding import LeftOutRows
+from jaypier.platform.decoding import LeftOutRows, describe_error
 from jaypier.platform.operators import StoreOperatorSource
 from jaypier.platform.store import MAX_RESPONSE_BYTES, StoreTable
 from jaypier.platform.workers import HttpWorkerLink, StoreWorkerDirectory
@@ -279,6 +279,17 @@
         self.metrics.count("daemon.task_failures")
         log.error("background task failed", task=name, exc_info=error)
 
+    def on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        """Count and log an error that the event loop reports, such as a failed ``accept``."""
+        self.metrics.count("daemon.loop_errors")
+        error = context.get("exception")
+        log.error(
+            "event loop reported an error",
+            reason=context["message"],
+            error=None if error is None else describe_error(error),
+            limited=True,
+        )
+
     # Leadership
 
     async def run_leadership(self) -> None:
@@ -456,6 +467,7 @@
 
         :raises OSError: when an address cannot be bound.
         """
+        asyncio.get_running_loop().set_exception_handler(self.on_loop_error)
         settings = self.settings
         servers = self.build_servers()
         async with AsyncExitStack() as stack:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import resource
 
 import pytest
 
@@ -257,6 +258,30 @@
         asyncio.run(scenario())
 
 
+class TestDescriptorsOfTheSystem:
+    """Fewer descriptors than the settings state, and a crowd that takes them all."""
+
+    def test_process_lives_and_logs_what_fails(self, tmp_path):
+        async def scenario() -> None:
+            async with Deployment(tmp_path, ConfigurationSource.PLATFORM, daemons=1) as deployment:
+                process = deployment.processes[0]
+                # Lowered behind the daemon's back, as by files that it does not know of.
+                resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (60, 60))
+                async with Crowd(deployment.ports[0].callers, CrowdPlan(100)) as crowd:
+                    await crowd.press()
+                    await asyncio.sleep(2.5)
+                    assert process.returncode is None
+                await deployment.wait_ready(0)
+                path = "/common/00000000000000c1"
+                response = await deployment.call_as_caller(0, "POST", path, JOB)
+                assert response.status == 200
+                lines = deployment.read_log(0).splitlines()
+                assert 1 <= sum("event loop reported an error" in line for line in lines) < 50
+                assert all(line.startswith("{") for line in lines)
+
+        asyncio.run(scenario())
+
+
 class TestRequestsWithinTheLimits:
     """Ordinary clients beside a crowd."""
 
