wire: the connection of a client has a module of its own

Change: wire/connection.py has ServerConnection with its phases and limits; wire/server.py keeps the server, which owns the connections. No change of behaviour.

--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -8,9 +8,10 @@
 import pytest
 
 from jaypier.core.address import Address
-from jaypier.wire import server
+from jaypier.wire import connection as wire_connection
 from jaypier.wire.capacity import ClientBudget, RefusalReason, ServerCapacity
 from jaypier.wire.client import ConnectionPool
+from jaypier.wire.connection import EVENTS_PER_TURN, MAX_BYTES_AHEAD, READ_BYTES, REQUEST_BYTES
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
 from jaypier.wire.server import HttpLimits, HttpServer
@@ -235,7 +236,7 @@
         return False
 
     def test_client_is_disconnected_though_it_goes_on_sending(self, monkeypatch):
-        monkeypatch.setattr(server, "RESPONSE_WRITE_TIMEOUT_SECONDS", 0.3)
+        monkeypatch.setattr(wire_connection, "RESPONSE_WRITE_TIMEOUT_SECONDS", 0.3)
 
         async def scenario(harness):
             async def handle(request: HttpRequest) -> HttpResponse:
@@ -252,7 +253,7 @@
             harness.release.clear()
             await self.press(harness, 0.5)
             (connection,) = harness.server.connections
-            assert connection.bytes_ahead <= server.MAX_BYTES_AHEAD + server.READ_BYTES
+            assert connection.bytes_ahead <= MAX_BYTES_AHEAD + READ_BYTES
 
         run_scenario(scenario)
 
@@ -385,7 +386,7 @@
 
     def test_requests_take_up_half_of_the_budget_at_most(self):
         async def scenario(harness):
-            harness.server.budget = ClientBudget(6 * server.REQUEST_BYTES)
+            harness.server.budget = ClientBudget(6 * REQUEST_BYTES)
             async with asyncio.TaskGroup() as group:
                 await self.occupy(harness, group, 2)
                 assert (await harness.pool.exchange(REQUEST, 5.0)).status == 503
@@ -458,7 +459,7 @@
                 return sum(len(each.body) for each in harness.server.connections)
 
             most = await self.count_between_turns(count_chunks, 1000 * self.CLIENTS)
-            assert most <= 2 * CONNECTIONS_PER_TURN * server.EVENTS_PER_TURN
+            assert most <= 2 * CONNECTIONS_PER_TURN * EVENTS_PER_TURN
             for writer in writers:
                 writer.close()
 
