Tests of crowds: long responses to short requests of other daemons

Cause: a request of 50 bytes at the address for other daemons brings a page of the store, 1.4 MB, into the process.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from jaypier.platform import Put, Transaction
 from jaypier.wire.errors import TransportError
 from standins.crowd import Crowd, CrowdPlan, ProcessMonitor
 from standins.deployment import ConfigurationSource, Deployment, send_request
@@ -43,11 +44,19 @@
 SERVERS = ("callers", "ready", "metrics", "peers")
 
 
-def press(folder, server: str, plan: CrowdPlan, before=None, after=None) -> None:
+def press(
+    folder,
+    server: str,
+    plan: CrowdPlan,
+    before=None,
+    after=None,
+    descriptors: int = DESCRIPTORS,
+) -> None:
     """Let a crowd press a server of one daemon, and check what must hold meanwhile and after it.
 
     :param before: called with the deployment before the crowd comes.
     :param after: called with the deployment once the crowd has sent all that it can.
+    :param descriptors: file descriptors of a VM.
     """
 
     async def scenario() -> None:
@@ -56,12 +65,12 @@
             ConfigurationSource.PLATFORM,
             daemons=2,
             memory_mb=MEMORY_MB,
-            descriptors=DESCRIPTORS,
+            descriptors=descriptors,
         ) as deployment:
             if before is not None:
                 before(deployment)
             port = getattr(deployment.ports[0], server)
-            await check_crowd(deployment, port, plan, MEMORY_MB, DESCRIPTORS, after)
+            await check_crowd(deployment, port, plan, MEMORY_MB, descriptors, after)
             await deployment.wait_ready(0)
             response = await deployment.call_as_caller(0, "POST", "/common/00000000000000c1", JOB)
             assert response.status == 200, response
@@ -195,6 +204,19 @@
     )
 
 
+class TestLargeResponses:
+    """Requests of a few bytes whose responses are long."""
+
+    def test_memory_stays_within_that_of_the_vm(self, tmp_path):
+        def fill_table(deployment):
+            for number in range(100):
+                row = Put(f"large/{number:03}", "x" * 10_000)
+                deployment.cluster.store.apply(Transaction(puts=[row]))
+
+        request = b"GET /rows-get?Table=large HTTP/1.1\r\nHost: a\r\n\r\n"
+        press(tmp_path, "peers", CrowdPlan(400, request), fill_table, descriptors=4100)
+
+
 class TestDecoding:
     """Bodies whose values take many times their bytes."""
 
