wire: responses that are being received are bounded by the VM's memory

Each exchange has a limit, 1 MiB with a worker and 8 MiB with the store, but nothing bounded them together: 270 workers, or 243 requests that are relayed for other daemons, take more than a VM of 300 MB has.

Cause: limits per exchange only.

Change: the budget of the servers, now MemoryBudget, also counts responses that are being received, an eighth of the VM's memory for all connections to the store, the workers and other daemons (capacity.received_memory_share). Beyond it the exchange with the largest response fails, like one whose connection has ended.

Evidence: a unit test with two servers and one budget, which could not be built before: the large response is given up, the small one arrives. No crowd of real processes shows the fault: the stand-in of the store sends one response at a time.

--- a/src/jaypier/entry/capacity.py
+++ b/src/jaypier/entry/capacity.py
@@ -58,6 +58,8 @@
 
     :param memory_mb: memory of the VM, in MB; the process is killed beyond it.
     :param client_memory_share: share of it that clients may take up.
+    :param received_memory_share: share of it that responses of the store, the workers and other
+        daemons may take up while they are received.
     :param descriptors: number of file descriptors that the process may open.
     :param client_descriptor_share: share of the sockets that is for connections of clients; the
         others are for the store, the workers and other daemons.
@@ -65,6 +67,7 @@
 
     memory_mb: int = attrs.field(default=300, validator=_at_least(50))
     client_memory_share: float = attrs.field(default=0.25, validator=_share)
+    received_memory_share: float = attrs.field(default=0.125, validator=_share)
     descriptors: int = attrs.field(default=4100, validator=_at_least(RESERVED_DESCRIPTORS + 100))
     client_descriptor_share: float = attrs.field(default=0.5, validator=_share)
 
@@ -80,6 +83,11 @@
         """Maximum memory that all clients may take up, in bytes."""
         return int(self.memory_mb * self.client_memory_share * (1 << 20))
 
+    @property
+    def max_received_bytes(self) -> int:
+        """Maximum memory that responses may take up while they are received, in bytes."""
+        return int(self.memory_mb * self.received_memory_share * (1 << 20))
+
     def for_server(self, name: ServerName) -> ServerCapacity:
         """Return what the clients of one server may take up."""
         connections = max(
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -48,7 +48,7 @@
 from jaypier.relay.transport import FailoverTransport
 from jaypier.scheduling.overload import ACCEPTED, Admission, decide_admission, decode_summary
 from jaypier.scheduling.team_limits import explain_excess
-from jaypier.wire.capacity import ClientBudget
+from jaypier.wire.capacity import MemoryBudget
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.messages import HttpRequest, HttpResponse, busy_response, json_response
 from jaypier.wire.server import Handler, HttpLimits, HttpServer
@@ -95,16 +95,19 @@
         self.explanations = TokenBucket(
             self.clock, EXPLANATIONS_PER_SECOND, 2 * EXPLANATIONS_PER_SECOND
         )
-        self.client_budget = ClientBudget(settings.capacity.max_client_bytes)
+        self.client_budget = MemoryBudget(settings.capacity.max_client_bytes)
         self.refusals = RefusalLog(self.metrics, self.clock)
         self.rng = random.Random()
         self.incarnation = f"{settings.name}/{time.time_ns()}"
         self.stop_requested = asyncio.Event()
         self.is_stopping = False
         self.leader: Leader | None = None
-        store = ConnectionPool(settings.store_address, max_body_bytes=MAX_RESPONSE_BYTES)
+        self.received_budget = MemoryBudget(settings.capacity.max_received_bytes)
+        store = ConnectionPool(
+            settings.store_address, MAX_RESPONSE_BYTES, budget=self.received_budget
+        )
         self.left_out = LeftOutRows(self.metrics)
-        peers = PeerList(settings.name, self.clock, self.rng, self.left_out)
+        peers = PeerList(settings.name, self.clock, self.rng, self.left_out, self.received_budget)
         self.transport = FailoverTransport(store, peers, self.rng)
         self.table = StoreTable(self.transport, settings.max_row_bytes)
         self.election: Election | None = None
@@ -313,7 +316,7 @@
             self.leader = Leader(
                 self.table,
                 self.directory,
-                lambda entry: HttpWorkerLink(entry.id, entry.address),
+                lambda entry: HttpWorkerLink(entry.id, entry.address, self.received_budget),
                 writer,
                 LeaderSettings(
                     self.settings.bounds.lease,
--- a/src/jaypier/entry/tests/test_capacity.py
+++ b/src/jaypier/entry/tests/test_capacity.py
@@ -29,6 +29,7 @@
 
     def test_memory_of_clients_is_a_share_of_that_of_the_vm(self):
         assert CapacitySettings(memory_mb=200).max_client_bytes == 50 << 20
+        assert CapacitySettings(memory_mb=200).max_received_bytes == 25 << 20
 
     @pytest.mark.parametrize(
         "values",
--- a/src/jaypier/platform/workers.py
+++ b/src/jaypier/platform/workers.py
@@ -26,6 +26,7 @@
 from jaypier.platform.abstract import TableSource, WatchableTable
 from jaypier.platform.decoding import LeftOutRows, decode_valid, describe_error
 from jaypier.platform.model import Changes, Row
+from jaypier.wire.capacity import MemoryBudget
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.errors import TransportError
 from jaypier.wire.messages import HttpRequest, HttpResponse
@@ -154,10 +155,13 @@
 
     :param worker_id: id of the worker; a worker with another id rejects the requests.
     :param address: the worker's address.
+    :param budget: memory that responses of all workers take up while they are received.
     """
 
-    def __init__(self, worker_id: str, address: Address) -> None:
-        self.pool = ConnectionPool(address, max_idle_seconds=MAX_IDLE_SECONDS)
+    def __init__(
+        self, worker_id: str, address: Address, budget: MemoryBudget | None = None
+    ) -> None:
+        self.pool = ConnectionPool(address, max_idle_seconds=MAX_IDLE_SECONDS, budget=budget)
         self.headers = [
             (b"content-type", b"application/json"),
             (b"target-instance", worker_id.encode()),
--- a/src/jaypier/relay/peers.py
+++ b/src/jaypier/relay/peers.py
@@ -11,6 +11,7 @@
 from jaypier.platform import Put, Transaction, WatchableTable
 from jaypier.platform.decoding import LeftOutRows, decode_valid
 from jaypier.platform.store import MAX_RESPONSE_BYTES
+from jaypier.wire.capacity import MemoryBudget
 from jaypier.wire.client import ConnectionPool
 
 DAEMONS_TABLE = "daemons"
@@ -66,6 +67,7 @@
     :param clock: clock that the back-off times refer to.
     :param rng: determines the order in which peers are tried.
     :param left_out: observes the rows of daemons that cannot be decoded.
+    :param budget: memory that responses of all peers take up while they are received.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         clock: Clock,
         rng: random.Random,
         left_out: LeftOutRows | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        self.budget = budget
         self.left_out = left_out or LeftOutRows()
         self.own_name = own_name
         self.clock = clock
@@ -100,7 +104,10 @@
             existing = self.peers.get(name)
             if existing is None or existing.address != address:
                 pool = ConnectionPool(
-                    address, MAX_RESPONSE_BYTES, connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS
+                    address,
+                    MAX_RESPONSE_BYTES,
+                    connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
+                    budget=self.budget,
                 )
                 self.peers[name] = Peer(name, address, pool)
 
--- a/src/jaypier/wire/capacity.py
+++ b/src/jaypier/wire/capacity.py
@@ -43,18 +43,18 @@
     @property
     @abstractmethod
     def is_evictable(self) -> bool:
-        """Whether the connection may be closed: no request of its client is being handled."""
+        """Whether the connection may be closed now."""
 
     @abstractmethod
     def evict(self) -> None:
-        """Refuse the request that is being read, if any, and release the memory held for it."""
+        """Give up the message that is being read, if any, and release the memory held for it."""
 
 
-class ClientBudget:
-    """Memory that the clients of all servers of a process may take up together.
+class MemoryBudget:
+    """Memory that the connections of a process may take up together.
 
-    When it is used up, connections are closed or refused, those that hold most first. Clients
-    that send requests of the usual size hold little and are spared.
+    When it is used up, connections are closed or refused, those that hold most first. Connections
+    with messages of the usual size hold little and are spared.
 
     :param max_bytes: maximum number of bytes; what objects take beside their bytes is estimated.
     :ivar held: number of bytes that each connection holds.
--- a/src/jaypier/wire/client.py
+++ b/src/jaypier/wire/client.py
@@ -7,6 +7,7 @@
 import h11
 
 from jaypier.core.address import Address
+from jaypier.wire.capacity import ChargedConnection, MemoryBudget
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
 from jaypier.wire.messages import MAX_BODY_BYTES, HttpRequest, HttpResponse
 
@@ -24,11 +25,14 @@
 MAX_IDLE_SECONDS = 5.0
 """Idle time after which a pooled connection is closed instead of reused."""
 
+DEFAULT_RECEIVED_BYTES = 32 << 20
+"""Budget of a pool that shares it with no other."""
+
 ProgressCallback = Callable[[], None]
 """Called whenever a part of a response has arrived."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol, ChargedConnection):
     """One connection to a server; it carries one exchange at a time.
 
     A connection whose exchange did not end with a complete, well-formed response is closed, so a
@@ -36,11 +40,18 @@
 
     :param address: the server's address, for the ``host`` header and error messages.
     :param max_body_bytes: maximum size of a response body, in bytes.
+    :param budget: memory that responses take up while they are received.
     """
 
-    def __init__(self, address: Address, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        address: Address,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         self.address = address
         self.max_body_bytes = max_body_bytes
+        self.budget = budget or MemoryBudget(DEFAULT_RECEIVED_BYTES)
         self.http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future | None = None
@@ -102,6 +113,9 @@
                     self.transport.abort()
                     return
                 self.body += event.data
+                self.budget.charge(self, len(self.body))
+                if self.waiter.done():
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self.response.body = bytes(self.body)
                 self.body = bytearray()
@@ -115,6 +129,18 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(BrokenExchange(message, sent=True))
 
+    @property
+    def is_evictable(self) -> bool:
+        """Whether the exchange may be given up: it has not ended."""
+        return self.waiter is not None and not self.waiter.done()
+
+    def evict(self) -> None:
+        """Give up the exchange, whose response takes too much memory."""
+        self.fail_exchange(f"no memory for the response of {self.address}")
+        self.body = bytearray()
+        self.budget.release(self)
+        self.transport.abort()
+
     @property
     def is_reusable(self) -> bool:
         """Whether another exchange may start on this connection."""
@@ -159,6 +185,7 @@
             raise
         finally:
             self.timer.cancel()
+            self.budget.release(self)
             self.waiter = self.on_progress = None
         self.finish_exchange()
         return response
@@ -210,19 +237,25 @@
 
 
 async def open_connection(
-    address: Address, timeout: float = CONNECT_TIMEOUT_SECONDS, max_body_bytes: int = MAX_BODY_BYTES
+    address: Address,
+    timeout: float = CONNECT_TIMEOUT_SECONDS,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    budget: MemoryBudget | None = None,
 ) -> ClientConnection:
     """Connect to a server.
 
     :param timeout: time to wait for the connection, in seconds.
     :param max_body_bytes: maximum size of a response body, in bytes.
+    :param budget: memory that responses take up while they are received.
     :raises ConnectError: if the connection is refused or is not established in time.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(address, max_body_bytes), address.host, address.port
+                lambda: ClientConnection(address, max_body_bytes, budget),
+                address.host,
+                address.port,
             )
     except (OSError, TimeoutError) as error:
         raise ConnectError(f"cannot connect to {address}: {error or 'timed out'}") from error
@@ -236,6 +269,8 @@
     :param max_body_bytes: maximum size of a response body, in bytes.
     :param max_idle_seconds: idle time after which a connection is not reused.
     :param connect_timeout_seconds: time to wait for a connection.
+    :param budget: memory that its responses, and those of other pools, take up while they are
+        received.
     :ivar idle: connections without an exchange, the most recently used last.
     """
 
@@ -245,11 +280,13 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         max_idle_seconds: float = MAX_IDLE_SECONDS,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.address = address
         self.max_body_bytes = max_body_bytes
         self.max_idle_seconds = max_idle_seconds
         self.connect_timeout_seconds = connect_timeout_seconds
+        self.budget = budget or MemoryBudget(DEFAULT_RECEIVED_BYTES)
         self.idle: deque[ClientConnection] = deque()
 
     async def __aenter__(self) -> "ConnectionPool":
@@ -285,7 +322,9 @@
         connection = self.pop_idle()
         if connection is None:
             connect_timeout = min(timeout, self.connect_timeout_seconds)
-            connection = await open_connection(self.address, connect_timeout, self.max_body_bytes)
+            connection = await open_connection(
+                self.address, connect_timeout, self.max_body_bytes, self.budget
+            )
         response = await connection.exchange(request, timeout, on_progress)
         if connection.is_reusable:
             self.idle.append(connection)
--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from jaypier.core.address import Address
-from jaypier.wire.capacity import ClientBudget, RefusalReason, ServerCapacity
+from jaypier.wire.capacity import MemoryBudget, RefusalReason, ServerCapacity
 from jaypier.wire.connection import (
     READ_BYTES,
     SOCKET_BUFFER_BYTES,
@@ -51,7 +51,7 @@
         get_limits: Callable[[], HttpLimits] = HttpLimits,
         capacity: ServerCapacity | None = None,
         on_refusal: Callable[[RefusalReason], None] = lambda reason: None,
-        budget: ClientBudget | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -59,7 +59,7 @@
         self.get_limits = get_limits
         self.capacity = capacity or ServerCapacity()
         self.on_refusal = on_refusal
-        self.budget = budget or ClientBudget(DEFAULT_BUDGET_BYTES)
+        self.budget = budget or MemoryBudget(DEFAULT_BUDGET_BYTES)
         self.connections: set[ServerConnection] = set()
         self.waiting: dict[ServerConnection, None] = {}
         self.requests = 0
--- a/src/jaypier/wire/tests/test_capacity.py
+++ b/src/jaypier/wire/tests/test_capacity.py
@@ -1,8 +1,8 @@
-from jaypier.wire.capacity import ChargedConnection, ClientBudget
+from jaypier.wire.capacity import ChargedConnection, MemoryBudget
 
 
 class FakeConnection(ChargedConnection):
-    def __init__(self, budget: ClientBudget, is_evictable: bool = True) -> None:
+    def __init__(self, budget: MemoryBudget, is_evictable: bool = True) -> None:
         self.budget = budget
         self.evictable = is_evictable
         self.is_evicted = False
@@ -16,9 +16,9 @@
         self.budget.charge(self, 1)
 
 
-class TestClientBudget:
+class TestMemoryBudget:
     def fill(self, *counts: int, evictable: bool = True) -> list[FakeConnection]:
-        budget = ClientBudget(1000)
+        budget = MemoryBudget(1000)
         connections = [FakeConnection(budget, evictable) for _ in counts]
         for connection, count in zip(connections, counts, strict=True):
             budget.charge(connection, count)
--- a/src/jaypier/wire/tests/test_client.py
+++ b/src/jaypier/wire/tests/test_client.py
@@ -10,8 +10,9 @@
 
 from jaypier.core.address import Address
 from jaypier.wire import client
+from jaypier.wire.capacity import MemoryBudget
 from jaypier.wire.client import PART_TIMEOUT_SECONDS, ConnectionPool
-from jaypier.wire.errors import ExchangeTimeout
+from jaypier.wire.errors import BrokenExchange, ExchangeTimeout
 from jaypier.wire.messages import HttpRequest, HttpResponse
 
 REQUEST = HttpRequest("GET", "/rows")
@@ -157,6 +158,23 @@
         assert asyncio.run(scenario()) < 8 * 2 * count
 
 
+class TestMemoryOfResponses:
+    def test_largest_response_is_given_up_when_all_take_too_much(self):
+        async def scenario() -> None:
+            budget = MemoryBudget(400_000)
+            large = SlowServer(600_000, [bytes(200_000), bytes(200_000)], 0.3)
+            small = SlowServer(100_000, [bytes(50_000), bytes(50_000)], 0.4)
+            async with large as large_pool, small as small_pool, small_pool, large_pool:
+                large_pool.budget = small_pool.budget = budget
+                small_exchange = asyncio.create_task(small_pool.exchange(REQUEST, 5.0))
+                with pytest.raises(BrokenExchange, match="no memory"):
+                    await large_pool.exchange(REQUEST, 5.0)
+                assert len((await small_exchange).body) == 100_000
+                assert budget.held_bytes == 0
+
+        asyncio.run(scenario())
+
+
 class TestIdleConnections:
     def test_connections_of_a_burst_are_closed_once_they_are_stale(self):
         async def scenario() -> None:
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -9,7 +9,7 @@
 
 from jaypier.core.address import Address
 from jaypier.wire import connection as wire_connection
-from jaypier.wire.capacity import ClientBudget, RefusalReason, ServerCapacity
+from jaypier.wire.capacity import MemoryBudget, RefusalReason, ServerCapacity
 from jaypier.wire.client import ConnectionPool
 from jaypier.wire.connection import EVENTS_PER_TURN, MAX_BYTES_AHEAD, READ_BYTES, REQUEST_BYTES
 from jaypier.wire.errors import BrokenExchange, ConnectError, ExchangeTimeout
@@ -329,7 +329,7 @@
     def test_largest_request_is_refused_and_others_are_served(self):
         async def scenario(harness):
             refusals: list[RefusalReason] = []
-            harness.server.budget = ClientBudget(640_000)
+            harness.server.budget = MemoryBudget(640_000)
             harness.server.on_refusal = refusals.append
             streams = []
             for size in (250_000, 300_000, 70_000):
@@ -386,7 +386,7 @@
 
     def test_requests_take_up_half_of_the_budget_at_most(self):
         async def scenario(harness):
-            harness.server.budget = ClientBudget(6 * REQUEST_BYTES)
+            harness.server.budget = MemoryBudget(6 * REQUEST_BYTES)
             async with asyncio.TaskGroup() as group:
                 await self.occupy(harness, group, 2)
                 assert (await harness.pool.exchange(REQUEST, 5.0)).status == 503
