wire: a server listens on an IPv6 address again

Found when reading the change.

Cause: it creates the listening socket itself, of the family for IPv4.

Change: the family follows from the address.

--- a/src/jaypier/wire/server.py
+++ b/src/jaypier/wire/server.py
@@ -69,7 +69,8 @@
         self.listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> "HttpServer":
-        listening = socket.socket()
+        family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
+        listening = socket.socket(family)
         try:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             # Accepted connections inherit the sizes of the buffers.
