wire: a connection that waits for its turn is neither closed nor read on

Input that waited for its turn did not count: a graceful stop closed the connection though a whole request had been read, and it was read on without a limit.

Cause: is_idle looked at the phase only, and request_turn returned for a queued connection before it looked at what is ahead.

Change: both look at the bytes ahead. MemoryBudget.make_room also resets its flag if an eviction fails.

--- a/src/jaypier/wire/capacity.py
+++ b/src/jaypier/wire/capacity.py
@@ -98,9 +98,11 @@
         """Evict connections, those that hold most first, until ``ROOM_SHARE`` is free."""
         self.is_making_room = True
         target = self.max_bytes * (1.0 - ROOM_SHARE)
-        for connection in sorted(self.held, key=self.held.__getitem__, reverse=True):
-            if self.held_bytes <= target:
-                break
-            if connection.is_evictable:
-                connection.evict()
-        self.is_making_room = False
+        try:
+            for connection in sorted(self.held, key=self.held.__getitem__, reverse=True):
+                if self.held_bytes <= target:
+                    break
+                if connection.is_evictable:
+                    connection.evict()
+        finally:
+            self.is_making_room = False
--- a/src/jaypier/wire/connection.py
+++ b/src/jaypier/wire/connection.py
@@ -169,9 +169,14 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled, and none has been sent ahead."""
-        if self.phase is Phase.UNREAD:
+        if self.phase in (Phase.IDLE, Phase.UNREAD):
             return not self.bytes_ahead
-        return self.phase in (Phase.IDLE, Phase.CLOSING)
+        return self.phase is Phase.CLOSING
+
+    @property
+    def is_parsing(self) -> bool:
+        """Whether what was read belongs to the request that is handled next."""
+        return self.phase in (Phase.IDLE, Phase.HEAD, Phase.BODY)
 
     @property
     def bytes_ahead(self) -> int:
@@ -238,12 +243,11 @@
 
     def request_turn(self) -> None:
         """Parse what was read now, or in a later turn of the event loop."""
-        if self.is_queued:
-            return
-        if self.server.turns.request(self):
-            self.process_events()
-        else:
-            self.is_queued = True
+        if self.is_parsing and not self.is_queued:
+            if self.server.turns.request(self):
+                self.process_events()
+            else:
+                self.is_queued = True
         self.update()
 
     def take_turn(self) -> None:
@@ -256,7 +260,7 @@
         """Read parser events until a request is complete, the turn ends or bytes are missing."""
         try:
             for _ in range(EVENTS_PER_TURN):
-                if self.phase not in (Phase.IDLE, Phase.HEAD, Phase.BODY):
+                if not self.is_parsing:
                     return
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -94,6 +94,15 @@
 
 
 class TestExchanges:
+    def test_server_listens_on_an_ipv6_address(self):
+        async def scenario(harness):
+            address = Address("::1", harness.address.port)
+            server = HttpServer(address, harness.handle, harness.errors.append)
+            async with server, ConnectionPool(address) as pool:
+                assert (await pool.exchange(REQUEST, 5.0)).body == b"body"
+
+        run_scenario(scenario)
+
     def test_connection_is_reused(self):
         async def scenario(harness):
             for _ in range(3):
@@ -423,6 +432,20 @@
             writer.write(data)
         return [writer for _, writer in streams]
 
+    def test_waiting_connections_are_not_read_beyond_the_limit(self):
+        async def scenario(harness):
+            request = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + bytes(1000).hex().encode() + b"\r\n\r\n"
+            writers = await self.connect(harness, 100 * request)
+            largest = 0
+            while not all(each.is_idle for each in harness.server.connections) or not largest:
+                largest = max(largest, *(each.bytes_ahead for each in harness.server.connections))
+                await asyncio.sleep(0)
+            assert largest <= MAX_BYTES_AHEAD + READ_BYTES
+            for writer in writers:
+                writer.close()
+
+        run_scenario(scenario)
+
     async def count_between_turns(self, get_count, total: int) -> int:
         """Return by how much a count grows at most in one turn of the event loop."""
         counts = [get_count()]
@@ -507,6 +530,25 @@
 
         run_scenario(scenario)
 
+    def test_requests_that_wait_for_their_turn_get_their_responses(self):
+        count = 64
+
+        async def scenario(harness):
+            streams = [
+                await asyncio.open_connection(harness.address.host, harness.address.port)
+                for _ in range(count)
+            ]
+            for _, writer in streams:
+                writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            while not harness.server.turns.queue:
+                await asyncio.sleep(0)
+            await harness.server.drain(10.0)
+            for reader, writer in streams:
+                assert (await reader.read()).startswith(b"HTTP/1.1 200")
+                writer.close()
+
+        run_scenario(scenario)
+
     def test_requests_sent_ahead_get_their_responses(self):
         async def scenario(harness):
             harness.release.clear()
