wire: a response that cannot be sent ends its connection

What callers saw: nothing yet. A response with a header that HTTP does not allow left the connection open without a timer, so that the client waited for ever, and now also in the phase that nothing evicts.

Cause: the error of the parser ended the task of the handler.

Change: it counts as an error of the handler, and the connection is closed.

Evidence: the test waited for its time-out of 5 s before.

--- a/src/jaypier/wire/connection.py
+++ b/src/jaypier/wire/connection.py
@@ -366,7 +366,12 @@
             return
         self.task = None
         self.server.end_request(self)
-        self.send_response(request, response)
+        try:
+            self.send_response(request, response)
+        except h11.LocalProtocolError as error:
+            # The handler built a response that cannot be sent.
+            self.server.on_handler_error(error)
+            self.abort()
         if self.bytes_ahead:
             self.request_turn()
         else:
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -103,6 +103,19 @@
 
         run_scenario(scenario)
 
+    def test_response_that_cannot_be_sent_ends_the_connection(self):
+        async def scenario(harness):
+            async def handle(request: HttpRequest) -> HttpResponse:
+                return HttpResponse(200, [(b"x", b"a\nb")])
+
+            harness.server.handler = handle
+            with pytest.raises(BrokenExchange):
+                await harness.pool.exchange(REQUEST, 5.0)
+            assert len(harness.errors) == 1
+            assert not harness.server.connections and not harness.server.waiting
+
+        run_scenario(scenario)
+
     def test_connection_is_reused(self):
         async def scenario(harness):
             for _ in range(3):
