Tests of crowds: names in the usual terms of the field

Cause: read as a newcomer, "press" says less than send, and the module's docstring did not say what a test checks.

Change: names and docstrings only; crowds and bounds are the same.

--- a/src/jaypier/wire/capacity.py
+++ b/src/jaypier/wire/capacity.py
@@ -1,4 +1,4 @@
-"""What the clients of a server may take up, and why they are refused more."""
+"""What connections may take up of a process: their number, requests in progress and memory."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -13,11 +13,11 @@
 
 
 class RefusalReason(Enum):
-    """Why a connection was refused or closed before its client was done.
+    """Why a server refused a request or closed a connection before its client was done.
 
     ``CONNECTIONS``: the server has its maximum of connections. ``MEMORY``: the clients of all
-    servers hold as much memory as they may, and this one holds most. ``REQUESTS``: as many requests
-    as may be are being handled.
+    servers hold as much memory as they may, and this one holds most. ``REQUESTS``: the maximum of
+    requests is being handled.
     """
 
     CONNECTIONS = "connections"
--- a/src/jaypier/wire/tests/test_server.py
+++ b/src/jaypier/wire/tests/test_server.py
@@ -239,7 +239,7 @@
 class TestUnreadResponses:
     """Clients that send requests ahead and read no response."""
 
-    async def press(self, harness: Harness, seconds: float) -> bool:
+    async def send_ahead(self, harness: Harness, seconds: float) -> bool:
         """Send requests for some seconds; return whether the connection has been closed by then."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
@@ -265,7 +265,7 @@
                 return HttpResponse(200, [], bytes(10_000))
 
             harness.server.handler = handle
-            assert await self.press(harness, 10.0)
+            assert await self.send_ahead(harness, 10.0)
             assert not harness.server.connections
 
         run_scenario(scenario)
@@ -273,7 +273,7 @@
     def test_requests_ahead_are_not_read_while_one_is_handled(self):
         async def scenario(harness):
             harness.release.clear()
-            await self.press(harness, 0.5)
+            await self.send_ahead(harness, 0.5)
             (connection,) = harness.server.connections
             assert connection.bytes_ahead <= MAX_BYTES_AHEAD + READ_BYTES
 
@@ -430,7 +430,7 @@
 
 
 class TestTurns:
-    """Other tasks and servers of the process, while many clients press one server."""
+    """Other tasks and servers of the process, while many clients send to one server."""
 
     CLIENTS = 64
 
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -60,8 +60,8 @@
         for each in self.sockets:
             each.close()
 
-    async def press(self) -> None:
-        """Let each client send until it is done, makes no progress or is disconnected."""
+    async def send(self) -> None:
+        """Let each client send what the plan says, as far as the daemon takes it."""
         await asyncio.gather(*(self.run_client() for _ in range(self.plan.clients)))
 
     async def run_client(self) -> None:
@@ -76,9 +76,9 @@
             async with asyncio.timeout(STALLED_SECONDS):
                 await loop.sock_connect(client, (HOST, self.port))
             for data in (self.plan.opening, *self.plan.repetitions * [self.plan.repeated]):
-                await self.send(client, data)
+                await self.send_data(client, data)
 
-    async def send(self, client: socket.socket, data: bytes) -> None:
+    async def send_data(self, client: socket.socket, data: bytes) -> None:
         """Send data.
 
         :raises OSError: if the connection has ended.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,6 +1,7 @@
-"""Tests of daemons as separate processes beside clients that don't keep to the protocol's limits.
+"""Tests of daemons as separate processes beside clients that do not behave.
 
-Each test runs one crowd and nothing else.
+Each test runs one crowd and nothing else. It checks memory and descriptors against the limits of
+the VM in its settings, and that the daemon is ready and serves a request afterwards; no times.
 """
 
 import asyncio
@@ -44,7 +45,7 @@
 SERVERS = ("callers", "ready", "metrics", "peers")
 
 
-def press(
+def check_server(
     folder,
     server: str,
     plan: CrowdPlan,
@@ -52,7 +53,7 @@
     after=None,
     descriptors: int = DESCRIPTORS,
 ) -> None:
-    """Let a crowd press a server of one daemon, and check what must hold meanwhile and after it.
+    """Let a crowd send to a server of one daemon, and check what must hold meanwhile and after it.
 
     :param before: called with the deployment before the crowd comes.
     :param after: called with the deployment once the crowd has sent all that it can.
@@ -84,13 +85,13 @@
 async def check_crowd(
     deployment: Deployment, port: int, plan: CrowdPlan, memory_mb: int, descriptors: int, after=None
 ) -> None:
-    """Let a crowd press a port of the first daemon; check memory and descriptors.
+    """Let a crowd send to a port of the first daemon; check memory and descriptors.
 
     Its connections stay open until the daemon has become ready.
     """
     process = deployment.processes[0]
     async with ProcessMonitor(process.pid) as monitor, Crowd(port, plan) as crowd:
-        await crowd.press()
+        await crowd.send()
         await monitor.wait_settled()
         assert process.returncode is None
         assert monitor.peak_bytes < memory_mb << 20
@@ -108,12 +109,12 @@
     def test_memory_stays_within_that_of_the_vm(self, tmp_path, name):
         server, request = REQUESTS_AHEAD[name]
         block = (65536 // len(request)) * request
-        press(tmp_path, server, CrowdPlan(16, b"", block, 128))
+        check_server(tmp_path, server, CrowdPlan(16, b"", block, 128))
 
     def test_operators_memory_stays_within_that_of_the_vm(self, tmp_path):
         request = b"GET /v1/configuration HTTP/1.1\r\nHost: a\r\n\r\n"
         block = (65536 // len(request)) * request
-        press_operators(tmp_path, CrowdPlan(40, b"", block, 128))
+        check_operators(tmp_path, CrowdPlan(40, b"", block, 128))
 
 
 class TestUnfinishedBodies:
@@ -121,10 +122,10 @@
 
     @pytest.mark.parametrize("server", SERVERS)
     def test_memory_stays_within_that_of_the_vm(self, tmp_path, server):
-        press(tmp_path, server, unfinished_bodies(130))
+        check_server(tmp_path, server, unfinished_bodies(130))
 
     def test_operators_memory_stays_within_that_of_the_vm(self, tmp_path):
-        press_operators(tmp_path, unfinished_bodies(300))
+        check_operators(tmp_path, unfinished_bodies(300))
 
 
 def unfinished_bodies(clients: int) -> CrowdPlan:
@@ -134,8 +135,8 @@
     return CrowdPlan(clients, head + 65535 * b" ", 65536 * b" ", 15)
 
 
-def press_operators(folder, plan: CrowdPlan) -> None:
-    """Let a crowd press the operators' server of a daemon whose file sets no limits."""
+def check_operators(folder, plan: CrowdPlan) -> None:
+    """Let a crowd send to the operators' server of a daemon whose file sets no limits."""
 
     async def scenario() -> None:
         async with Deployment(folder, ConfigurationSource.NOTES, daemons=1) as deployment:
@@ -159,10 +160,10 @@
 
     @pytest.mark.parametrize("server", SERVERS)
     def test_memory_stays_within_that_of_the_vm(self, tmp_path, server):
-        press(tmp_path, server, CrowdPlan(250, self.OPENING))
+        check_server(tmp_path, server, CrowdPlan(250, self.OPENING))
 
     def test_operators_memory_stays_within_that_of_the_vm(self, tmp_path):
-        press_operators(tmp_path, CrowdPlan(800, self.OPENING))
+        check_operators(tmp_path, CrowdPlan(800, self.OPENING))
 
 
 class TestConnections:
@@ -171,7 +172,7 @@
     @pytest.mark.parametrize("opening", [b"", b"GET / HTTP/1.1\r\nHost:"], ids=["idle", "begun"])
     @pytest.mark.parametrize("server", SERVERS)
     def test_descriptors_stay_within_those_of_the_vm(self, tmp_path, server, opening):
-        press(tmp_path, server, CrowdPlan(600, opening))
+        check_server(tmp_path, server, CrowdPlan(600, opening))
 
 
 class TestStoreThatDoesNotRespond:
@@ -179,23 +180,23 @@
 
     def test_descriptors_stay_within_those_of_the_vm(self, tmp_path):
         request = b"GET /common/00000000000000a1 HTTP/1.1\r\n" + HEADERS + b"\r\n"
-        press_without_store(tmp_path, CrowdPlan(350, request))
+        check_without_store(tmp_path, CrowdPlan(350, request))
 
     def test_memory_stays_within_that_of_the_vm(self, tmp_path):
         body = JOB + (1048576 - len(JOB)) * b" "
         head = b"POST /common/00000000000000a1 HTTP/1.1\r\n" + HEADERS
         length = b"Content-Length: %d\r\n\r\n" % len(body)
-        press_without_store(tmp_path, CrowdPlan(130, head + length + body))
+        check_without_store(tmp_path, CrowdPlan(130, head + length + body))
 
 
-def press_without_store(folder, plan: CrowdPlan) -> None:
-    """Let a crowd of callers press a daemon while the store is silent."""
+def check_without_store(folder, plan: CrowdPlan) -> None:
+    """Let a crowd of callers send to a daemon while the store is silent."""
 
     def set_mode(deployment: Deployment, mode: ProxyMode) -> None:
         for proxy in deployment.proxies:
             proxy.mode = mode
 
-    press(
+    check_server(
         folder,
         "callers",
         plan,
@@ -214,7 +215,7 @@
                 deployment.cluster.store.apply(Transaction(puts=[row]))
 
         request = b"GET /rows-get?Table=large HTTP/1.1\r\nHost: a\r\n\r\n"
-        press(tmp_path, "peers", CrowdPlan(400, request), fill_table, descriptors=4100)
+        check_server(tmp_path, "peers", CrowdPlan(400, request), fill_table, descriptors=4100)
 
 
 class TestDecoding:
@@ -231,7 +232,7 @@
         body = b'{"key": "jobs/1", "version": 1, "value": [' + size // 3 * b"[]," + b"0]}"
         head = b"POST " + path + b" HTTP/1.1\r\n" + HEADERS
         length = b"Content-Length: %d\r\n\r\n" % len(body)
-        press(tmp_path, server, CrowdPlan(2, head + length + body))
+        check_server(tmp_path, server, CrowdPlan(2, head + length + body))
 
 
 class TestNames:
@@ -290,7 +291,7 @@
                 # Lowered behind the daemon's back, as by files that it does not know of.
                 resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (60, 60))
                 async with Crowd(deployment.ports[0].callers, CrowdPlan(100)) as crowd:
-                    await crowd.press()
+                    await crowd.send()
                     await asyncio.sleep(2.5)
                     assert process.returncode is None
                 await deployment.wait_ready(0)
@@ -346,7 +347,7 @@
             ) as deployment:
                 port = deployment.ports[0].callers
                 async with Crowd(port, CrowdPlan(600, b"GET / HTTP/1.1\r\n")) as crowd:
-                    await crowd.press()
+                    await crowd.send()
                     for number in range(8):
                         path = f"/common/{number:016x}"
                         try:
