--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
+import random
 import shlex
 import shutil
 import signal
@@ -110,23 +112,26 @@
         self.file.flush()
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
-
-
-def free_pair():
-    for _ in range(200):
-        first = free_port()
+def free_ports(count):
+    """Return the first of some adjacent free ports, below those that connections are given."""
+    for _ in range(1000):
+        first = random.randrange(12000, 30000)
         try:
-            with socket.socket() as a, socket.socket() as b:
-                a.bind((HOST, first))
-                b.bind((HOST, first + 1))
+            with contextlib.ExitStack() as stack:
+                for port in range(first, first + count):
+                    stack.enter_context(socket.socket()).bind((HOST, port))
             return first
         except OSError:
             continue
-    raise OSError("no two adjacent free ports")
+    raise OSError("no free ports")
+
+
+def free_port():
+    return free_ports(1)
+
+
+def free_pair():
+    return free_ports(2)
 
 
 # HTTP
@@ -714,7 +719,7 @@
         for task in list(self.tasks):
             task.cancel()
         for minion in self.minions:
-            if hasattr(minion, "server"):
+            if hasattr(minion, "lapse_task"):
                 minion.lapse_task.cancel()
                 minion.server.close()
         self.store.server.close()
