--- a/src/jaypier/cli/explanation.py
+++ b/src/jaypier/cli/explanation.py
@@ -106,6 +106,7 @@
     named = ", ".join(f"{worker} ({tasks})" for worker, tasks in step["workers"].items())
     more = f" and {step['other_workers']} others" if step["other_workers"] else ""
     lacking = ", ".join(f"{reason} ({workers})" for reason, workers in step["lacking"].items())
+    waited = step.get("waited_beside_room", 0.0)
     return [
         line
         for line in (
@@ -113,6 +114,7 @@
             f"to: {named}{more}" if named else "",
             f"workers that lack something: {lacking}" if lacking else "",
             "may preempt runs of lower priority" if step["may_preempt"] else "",
+            f"waits for better workers since {describe_seconds(waited)}" if waited else "",
         )
         if line
     ]
--- a/src/jaypier/entry/daemon.py
+++ b/src/jaypier/entry/daemon.py
@@ -325,6 +325,7 @@
                     self.settings.values,
                     self.settings.overload,
                     self.settings.teams.share_equally,
+                    self.settings.bounds.spread_slowdown,
                 ),
                 self.clock,
                 time.time,
--- a/src/jaypier/entry/settings.py
+++ b/src/jaypier/entry/settings.py
@@ -74,6 +74,11 @@
         raise ValueError(f"{value!r} is not a number of cores; use more than 0, at most 1024")
 
 
+def _validate_slowdown(instance: object, attribute: attrs.Attribute, value: float) -> None:
+    if not 1.0 <= value <= 1000.0:
+        raise ValueError(f"{value!r} is out of range; use a factor of 1 to 1000")
+
+
 @attrs.frozen
 class LogSettings:
     """Format and level of the log."""
@@ -84,13 +89,14 @@
 
 @attrs.frozen
 class Bounds:
-    """Time limits that the platform guarantees to its users or requires of jaypier, in seconds.
+    """What the platform guarantees to its users or requires of jaypier; times are in seconds.
 
     :param revocation: time after which no VM may accept a removed API key.
     :param lease: longest lease that a worker grants to a run.
     :param grace: time between SIGTERM and SIGKILL.
     :param restore: time that a worker needs to restore a checkpoint.
     :param status: time for which the state of an ended job stays available.
+    :param spread_slowdown: factor by which a rack-local gang takes longer on several racks.
     """
 
     revocation: float = attrs.field(default=5.0, validator=_seconds_between(0.0, MAX_BOUND_SECONDS))
@@ -98,6 +104,7 @@
     grace: float = attrs.field(default=6.0, validator=_seconds_between(0.0, MAX_BOUND_SECONDS))
     restore: float = attrs.field(default=0.5, validator=_seconds_between(0.0, MAX_BOUND_SECONDS))
     status: float = attrs.field(default=120.0, validator=_seconds_between(0.0, MAX_BOUND_SECONDS))
+    spread_slowdown: float = attrs.field(default=3.0, validator=_validate_slowdown)
 
 
 @attrs.frozen
--- a/src/jaypier/jobs/explaining.py
+++ b/src/jaypier/jobs/explaining.py
@@ -62,6 +62,8 @@
     :param fits_in_seconds: time until all tasks are expected to fit, ``None`` if it is not known.
     :param ends_in_seconds: time until all tasks are expected to have ended, ``None`` likewise.
     :param may_preempt: whether a pass may stop runs of lower priority for it.
+    :param waited_beside_room: time in seconds for which preferences have kept it from room that it
+        may use.
     """
 
     occurrence: int
@@ -78,6 +80,7 @@
     fits_in_seconds: float | None
     ends_in_seconds: float | None
     may_preempt: bool
+    waited_beside_room: float = 0.0
 
 
 @attrs.frozen
@@ -193,6 +196,8 @@
     view.cluster_state.jobs = {**planner.cluster_state.jobs, state.spec.id: state}
     view.team_limits = copy.copy(planner.team_limits)
     view.team_limits.held = defaultdict(Resources, planner.team_limits.held)
+    view.eligible = view.eligible_workers(now)
+    view.idle_pools, view.fits_elsewhere = {}, {}
     view.reservations = [
         each
         for each in planner.reservations
@@ -297,6 +302,7 @@
             and not is_expired
             and not step.job.crash_suspects
         ),
+        waited_beside_room=view.preference_waits.seconds(step, now),
     )
 
 
--- a/src/jaypier/jobs/leader.py
+++ b/src/jaypier/jobs/leader.py
@@ -109,6 +109,7 @@
     :param values: what jobs are worth to their callers.
     :param overload: refusal of jobs at submission.
     :param shares_equally: whether teams without weights have equal shares of contended capacity.
+    :param spread_slowdown: factor by which a rack-local gang takes longer on several racks.
     """
 
     lease_seconds: float
@@ -117,6 +118,7 @@
     values: ValueSettings = attrs.field(factory=ValueSettings)
     overload: OverloadSettings = attrs.field(factory=OverloadSettings)
     shares_equally: bool = False
+    spread_slowdown: float = 3.0
 
 
 class Leader:
@@ -170,7 +172,9 @@
         self.left_out = LeftOutRows(metrics)
         self.epoch = writer.record.epoch
         self.cluster_state = ClusterState(self.epoch, settings.lease_seconds)
-        self.planner = Planner(self.cluster_state, settings.restore_seconds, settings.values)
+        self.planner = Planner(
+            self.cluster_state, settings.restore_seconds, settings.values, settings.spread_slowdown
+        )
         self.planner.team_shares.shares_equally = settings.shares_equally
         self.learned = LearnedState(
             {
@@ -673,6 +677,7 @@
             for failure in failures:
                 self.metrics.count("leader.plan_failures")
                 log.error("planning failed", job=failure.job_id, exc_info=failure.error)
+            self.log_ended_waits()
             self.team_log.observe(self.planner, self.metrics, started_at)
             self.stranding.update(self.cluster_state, self.planner.usable_workers, started_at)
             self.stop_runs(plan.stops, "preempted")
@@ -682,6 +687,18 @@
             self.progress_writer.write_requested.set()
         return plan_seconds
 
+    def log_ended_waits(self) -> None:
+        """Log and count the steps that have been started without their preferences."""
+        for ended in self.planner.ended_waits:
+            self.metrics.count("leader.preference_waits_ended")
+            log.info(
+                "started without preferences",
+                task=str(ended.task),
+                seconds=ended.seconds,
+                racks=ended.racks,
+            )
+        self.planner.ended_waits.clear()
+
     def log_lost_runs(self) -> None:
         """Log and count the runs that were concluded to be over without a reported end."""
         for lost in self.cluster_state.lost_runs:
--- a/src/jaypier/jobs/placement.py
+++ b/src/jaypier/jobs/placement.py
@@ -219,13 +219,14 @@
     all_workers: Sequence[Worker],
     packing: Packing | None = None,
     is_pressing: bool = False,
+    may_spread: bool = False,
 ) -> list[Worker]:
     """Return a worker for each task of a gang, or an empty list if it does not fit now.
 
     Workers of like speed are preferred, because the slowest sets the pace of a gang. A rack-local
     gang is placed on the rack that loses the least room for what usually comes, of equal ones on
-    that with the fewest slots that suffice (best fit). It is spread over several racks only if no
-    rack could hold it even when idle.
+    that with the fewest slots that suffice (best fit). It is spread over several racks only if it
+    fits on none now, and if either no rack could hold it even when idle or ``may_spread`` is set.
 
     :param workers: workers that may be used now.
     :param free_of: returns the resources of a worker that may be used.
@@ -233,6 +234,7 @@
         could hold it.
     :param packing: what usually comes, ``None`` to go by the number of slots only.
     :param is_pressing: whether the gang needs fast workers; other work leaves them free.
+    :param may_spread: whether a rack-local gang does not wait until one rack can hold it.
     """
     found = slots_by_fit(step, workers, free_of, is_pressing=is_pressing)
     bands = speed_bands(slots.worker.speed for slots in found)
@@ -251,7 +253,7 @@
             return (-pace, cost) if is_pressing else (cost, pace)
 
         return min(placements, key=order)[0]
-    if not step.is_rack_local or can_fit_one_rack(step, all_workers):
+    if not step.is_rack_local or not (may_spread or not can_fit_one_rack(step, all_workers)):
         return []
     # Tasks in several racks are slow already, so the gang takes the fastest workers that suffice.
     fastest_first = sorted(bands, key=lambda band: (-band.start, len(band)))
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -6,9 +6,10 @@
 that nothing else needs.
 """
 
+import itertools
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from operator import attrgetter
 
 import attrs
@@ -16,7 +17,7 @@
 from jaypier.jobs.cluster_state import ClusterState
 from jaypier.jobs.headroom import Headroom
 from jaypier.jobs.holding import MAX_HOLD_SHARE, GangHolds
-from jaypier.jobs.isolation import Isolation, earliest_idle
+from jaypier.jobs.isolation import Isolation, earliest_idle, tasks_to_hold_for
 from jaypier.jobs.model import URGENT_PRIORITY, Job, JobStatus, Resources
 from jaypier.jobs.placement import (
     FreeResourcesOf,
@@ -28,12 +29,26 @@
     place_gang,
     slots_by_fit,
 )
-from jaypier.jobs.preemption import Fit, StopCosts, can_wait, cheapest_preemption, earliest_fit
+from jaypier.jobs.preemption import (
+    STOP_DELAY_SECONDS,
+    Fit,
+    Preemption,
+    StopCosts,
+    can_wait,
+    cheapest_preemption,
+    earliest_fit,
+)
+from jaypier.jobs.preferences import (
+    MAX_PREFERENCE_SECONDS,
+    EndedWait,
+    PreferenceWaits,
+    RackWait,
+)
 from jaypier.jobs.state import JobState, Run, StepState, TaskState, Worker
 from jaypier.jobs.unplaceable import StepNeed, UnplaceableSteps
 from jaypier.jobs.valuation import Valuation, ValueSettings
 from jaypier.scheduling.packing import Packing, scaled
-from jaypier.scheduling.rooms import ContendedPools
+from jaypier.scheduling.rooms import MIN_CONTENDED_SHARE, ContendedPools, most_used_share
 from jaypier.scheduling.team_limits import TeamLimits
 from jaypier.scheduling.team_shares import TeamShares
 
@@ -85,6 +100,7 @@
     :param cluster_state: state of jobs, workers and runs, to which assignments are applied.
     :param restore_seconds: time that a worker needs to restore a checkpoint.
     :param values: what jobs are worth to their callers.
+    :param spread_slowdown: factor by which a rack-local gang takes longer on several racks.
 
     :ivar valuation: scores jobs.
     :ivar guarantees: guaranteed accelerators by team.
@@ -97,6 +113,11 @@
     :ivar packing: what recently submitted tasks need, by which workers are chosen.
     :ivar isolation: keeps jobs that may crash their workers apart from others.
     :ivar unplaceable: what does not fit in the current pass.
+    :ivar preference_waits: how long steps have waited beside room that they may use.
+    :ivar eligible: workers that accept new tasks in the current pass, with those to be avoided.
+    :ivar idle_pools: whether the pool of a service is mostly idle, as far as asked in this pass.
+    :ivar fits_elsewhere: whether there is room for a need without preferences, in the same way.
+    :ivar ended_waits: steps that have been started without preferences and not been logged yet.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
     :ivar team_shares: compares how well teams are served.
@@ -109,15 +130,22 @@
         cluster_state: ClusterState,
         restore_seconds: float = 0.5,
         values: ValueSettings | None = None,
+        spread_slowdown: float = 3.0,
     ) -> None:
         self.cluster_state = cluster_state
         self.restore_seconds = restore_seconds
+        self.spread_slowdown = spread_slowdown
         self.valuation = Valuation(values or ValueSettings())
         self.holds = GangHolds()
         self.headroom = Headroom()
         self.packing = Packing()
         self.isolation = Isolation()
         self.unplaceable = UnplaceableSteps()
+        self.preference_waits = PreferenceWaits()
+        self.eligible: list[Worker] = []
+        self.idle_pools: dict[str, bool] = {}
+        self.fits_elsewhere: dict[StepNeed, bool] = {}
+        self.ended_waits: list[EndedWait] = []
         self.guarantees: dict[str, int] = {}
         self.covered: set[str] = set()
         self.expired: set[str] = set()
@@ -159,6 +187,7 @@
             for each in self.reservations
             if each.expires_at > now and each.step.is_startable and each.step.waiting
         ]
+        self.eligible = self.eligible_workers(now)
         workers = self.usable_workers(now)
         if not workers:
             return Plan([], [])
@@ -170,6 +199,9 @@
         self.isolation.refresh(self.cluster_state.jobs.values(), now)
         self.team_limits.refresh(self.cluster_state, now)
         self.unplaceable.clear()
+        self.preference_waits.refresh(now)
+        self.idle_pools.clear()
+        self.fits_elsewhere.clear()
         contended = ContendedPools()
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
@@ -192,7 +224,7 @@
                     continue
                 need = self.need_of(step)
                 is_suspected = bool(state.crash_suspects)
-                if not self.unplaceable.covers(need):
+                if self.ignores_preferences(step, now) or not self.unplaceable.covers(need):
                     started = self.place_step(step, workers, now)
                     starts += started
                     self.isolation.observe_starts(started)
@@ -205,6 +237,8 @@
                         is_waiting_gang = step.spec.is_gang and not is_urgent and not is_expired
                         if is_suspected or is_waiting_gang:
                             self.hold_workers(step, workers, now)
+                if self.is_kept_from_room(step, need):
+                    self.preference_waits.observe(step, now)
                 has_no_room = not step.runs and not self.has_reservation(step)
                 if not is_expired:
                     contended.add(state.spec.service)
@@ -217,7 +251,12 @@
 
     def need_of(self, step: StepState) -> StepNeed:
         """Return what decides whether any task of a step can be placed."""
-        return StepNeed.of(step, self.holds, self.headroom, self.has_reservation(step))
+        return StepNeed.of(
+            step,
+            self.holds,
+            self.headroom,
+            self.has_reservation(step) or step in self.preference_waits.waits,
+        )
 
     def release_hold(self, step: StepState) -> None:
         """Drop the hold of a step, if it has one; its workers may have room for others."""
@@ -305,13 +344,22 @@
     def usable_workers(self, now: float) -> list[Worker]:
         """Return the workers that accept new tasks.
 
-        On a worker with unknown runs it is not known what is free.
+        Those to be avoided are only returned if there are no others.
+
+        :param now: time on the local clock, in seconds.
+        """
+        usable = self.eligible_workers(now)
+        preferred = [worker for worker in usable if not worker.is_avoided(now)]
+        return preferred or usable
 
-        Workers to be avoided are only returned if there are no others.
+    def eligible_workers(self, now: float) -> list[Worker]:
+        """Return the workers that accept new tasks.
+
+        On a worker with unknown runs it is not known what is free.
 
         :param now: time on the local clock, in seconds.
         """
-        usable = [
+        return [
             worker
             for worker in self.cluster_state.workers.values()
             if worker.is_reconciled
@@ -322,8 +370,6 @@
             and self.cluster_state.is_capacity_known(worker, now)
             and worker.entry.data_centre not in self.cluster_state.evacuated
         ]
-        preferred = [worker for worker in usable if not worker.is_avoided(now)]
-        return preferred or usable
 
     def free_resources_for(self, step: StepState) -> FreeResourcesOf:
         """Return a function from a worker to the resources that a step may use there.
@@ -349,14 +395,22 @@
         :param now: time on the local clock, in seconds.
         """
         chosen = self.choose_workers(step, workers, now)
+        racks = len({worker.entry.rack for _, worker in chosen})
+        is_spread = step.spec.is_rack_local and racks > 1
+        if chosen and (is_spread or self.ignores_preferences(step, now)):
+            waited = self.preference_waits.seconds(step, now)
+            self.ended_waits.append(EndedWait(chosen[0][0].id, waited, racks))
         if step.spec.is_gang:
             if not chosen:
                 return []
             attempt = self.cluster_state.next_attempt(step.job)
-            return [
+            runs = [
                 self.cluster_state.assign_task(step, task, worker, attempt, now)
                 for task, worker in chosen
             ]
+            for run in runs if is_spread else ():
+                run.slowdown = self.spread_slowdown
+            return runs
         return [self.assign_independent_task(step, task, worker, now) for task, worker in chosen]
 
     def choose_workers(
@@ -372,20 +426,121 @@
         candidates = self.candidate_workers(step, workers, now)
         permitted = self.isolation.permitted(step, candidates)
         if step.spec.is_gang:
-            failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
-            choices = self.choices_for(permitted, failed_on, now)
-            is_pressing = self.is_pressing(step, now)
-            placements = (
-                place_gang(step.spec, each, free_of, candidates, self.packing, is_pressing)
-                for each in choices
-            )
-            chosen = next((placed for placed in placements if placed), [])
-            return list(zip(step.tasks, chosen, strict=True)) if chosen else []
+            return self.choose_for_gang(step, permitted, candidates, free_of, now)
         if step.job.crash_suspects:
             placed = self.tasks_per_worker(step)
             permitted = self.isolation.trial_workers(step, permitted, free_of, placed)
         return self.choose_for_independent_tasks(step, permitted, free_of, now)
 
+    def choose_for_gang(
+        self,
+        step: StepState,
+        permitted: list[Worker],
+        candidates: list[Worker],
+        free_of: FreeResourcesOf,
+        now: float,
+    ) -> list[tuple[TaskState, Worker]]:
+        """Return the tasks of a gang, each with its worker, or an empty list if it does not fit.
+
+        A rack-local gang that fits on several racks only waits for one as long as that is worth it.
+
+        :param permitted: workers that may be used now.
+        :param candidates: workers that the gang could ever use.
+        :param now: time on the local clock, in seconds.
+        """
+        failed_on = {worker_id for task in step.tasks for worker_id in task.failed_on}
+        choices = self.choices_for(permitted, failed_on, now)
+        is_pressing = self.is_pressing(step, now)
+
+        def place(may_spread: bool) -> list[Worker]:
+            placements = (
+                place_gang(
+                    step.spec, each, free_of, candidates, self.packing, is_pressing, may_spread
+                )
+                for each in choices
+            )
+            return next((placed for placed in placements if placed), [])
+
+        chosen = place(may_spread=False)
+        if not chosen and step.spec.is_rack_local:
+            spread = place(may_spread=True)
+            if spread and not self.rack_wait(step, candidates, now).is_worth_it:
+                chosen = spread
+        return list(zip(step.tasks, chosen, strict=True)) if chosen else []
+
+    def rack_wait(self, step: StepState, candidates: list[Worker], now: float) -> RackWait:
+        """Return what decides whether a rack-local gang waits until one rack can hold it.
+
+        :param candidates: workers that the gang may use.
+        :param now: time on the local clock, in seconds.
+        """
+        # Holds end, so held workers count as well.
+        fit = self.earliest_rack_fit(step, self.permitted_workers(step, self.eligible), (), now)
+        seconds = math.inf if fit is None else fit.seconds
+        if step.job.spec.priority == URGENT_PRIORITY and self.find_preemption(step, candidates):
+            seconds = min(seconds, STOP_DELAY_SECONDS)
+        return RackWait(
+            seconds,
+            self.preference_waits.seconds(step, now),
+            self.spread_extra_seconds(step),
+            self.has_slots(step, 2 * step.spec.count),
+        )
+
+    def spread_extra_seconds(self, step: StepState) -> float:
+        """Return by how much longer a rack-local gang is expected to take on several racks."""
+        return (self.spread_slowdown - 1.0) * step.expected_seconds
+
+    def ignores_preferences(self, step: StepState, now: float) -> bool:
+        """Whether a step has waited so long beside ample room that it may use all of it.
+
+        :param now: time on the local clock, in seconds.
+        """
+        waited = self.preference_waits.seconds(step, now)
+        return waited >= MAX_PREFERENCE_SECONDS and self.has_ample_room(step)
+
+    def has_ample_room(self, step: StepState) -> bool:
+        """Whether twice the room of a step is free in a pool that is mostly idle."""
+        is_idle = self.is_mostly_idle(step.job.spec.service)
+        return is_idle and self.has_slots(step, 2 * tasks_to_hold_for(step))
+
+    def is_mostly_idle(self, service: str) -> bool:
+        """Whether less of each resource of a service's pool is in use than of a contended one.
+
+        Workers that accept no tasks count as well, as callers know nothing of them.
+        """
+        if service not in self.idle_pools:
+            pool = [
+                worker
+                for worker in self.cluster_state.workers.values()
+                if service in ("", worker.entry.service)
+            ]
+            self.idle_pools[service] = most_used_share(pool) < MIN_CONTENDED_SHARE
+        return self.idle_pools[service]
+
+    def has_slots(self, step: StepState, count: int) -> bool:
+        """Whether a number of tasks of a step fit on the workers that it may use, in any racks."""
+        free_of, placed = self.free_resources_for(step), self.tasks_per_worker(step)
+        in_pool = [worker for worker in self.eligible if is_in_pool(worker, step)]
+        slots = itertools.accumulate(
+            max_tasks_on(step.spec, worker, free_of(worker), placed[worker.id])
+            for worker in self.isolation.permitted(step, in_pool)
+        )
+        return any(total >= count for total in slots)
+
+    def is_kept_from_room(self, step: StepState, need: StepNeed) -> bool:
+        """Whether a preference keeps waiting tasks of a step from room that they may use.
+
+        The room for a rack-local gang counts wherever it fits, that for other steps while it is
+        ample.
+        """
+        if need not in self.fits_elsewhere:
+            self.fits_elsewhere[need] = (
+                self.has_slots(step, step.spec.count)
+                if step.spec.is_rack_local
+                else self.has_ample_room(step)
+            )
+        return self.fits_elsewhere[need]
+
     def is_pressing(self, step: StepState, now: float) -> bool:
         """Whether a step needs fast workers: its job is in time still, but not on slow ones.
 
@@ -400,10 +555,13 @@
 
         Steps of jobs that are not urgent do not use workers kept free for urgent jobs unless they
         could fit nowhere else. They use workers held for a waiting gang only if they are expected
-        to end before the gang can start.
+        to end before the gang can start. Both end, as for workers to be avoided, for a step that
+        has waited for long beside ample room.
 
         :param now: time on the local clock, in seconds.
         """
+        if self.ignores_preferences(step, now):
+            return [worker for worker in self.eligible if is_in_pool(worker, step)]
         usable = self.permitted_workers(step, workers)
         if step.job.spec.priority == URGENT_PRIORITY:
             return usable
@@ -443,18 +601,42 @@
         if fit is not None and not math.isinf(fit.seconds):
             self.holds.add(step, fit, now)
 
-    def find_earliest_fit(self, step: StepState, workers: list[Worker], now: float) -> Fit | None:
+    def find_earliest_fit(
+        self, step: StepState, workers: list[Worker], now: float, may_spread: bool = True
+    ) -> Fit | None:
         """Return when and where a step fits as current runs end, on workers that are not held.
 
-        A step of a job that may crash its workers fits on idle workers only.
+        A step of a job that may crash its workers fits on idle workers only. A rack-local gang fits
+        on several racks if that lets it end sooner, or if no rack could hold it.
 
         :param now: time on the local clock, in seconds.
+        :param may_spread: whether a rack-local gang fits on several racks if one could hold it.
         """
         usable = self.permitted_workers(step, workers)
-        is_local = step.spec.is_rack_local and can_fit_one_rack(step.spec, usable)
-        groups = group_by_rack(usable).values() if is_local else [usable]
         find = earliest_idle if step.job.crash_suspects else earliest_fit
-        fits = [find(step, group, self.holds.until, now) for group in groups]
+        if not step.spec.is_rack_local:
+            return find(step, usable, self.holds.until, now)
+        local = self.earliest_rack_fit(step, usable, self.holds.until, now)
+        if can_fit_one_rack(step.spec, usable) and (local is None or not may_spread):
+            # Without a fit, each such rack has held workers; the step gets a hold after these.
+            return local
+        spread = find(step, usable, self.holds.until, now)
+        if local is None or spread is None:
+            return local or spread
+        is_sooner = spread.seconds + self.spread_extra_seconds(step) < local.seconds
+        return spread if is_sooner else local
+
+    def earliest_rack_fit(
+        self, step: StepState, workers: list[Worker], held: Collection[str], now: float
+    ) -> Fit | None:
+        """Return when and where a step fits in one rack as current runs end.
+
+        :param workers: workers that the step may use.
+        :param held: ids of workers to leave out.
+        :param now: time on the local clock, in seconds.
+        """
+        find = earliest_idle if step.job.crash_suspects else earliest_fit
+        fits = [find(step, rack, held, now) for rack in group_by_rack(workers).values()]
         return min(
             (fit for fit in fits if fit is not None), key=lambda fit: fit.seconds, default=None
         )
@@ -539,7 +721,7 @@
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
-        fit = self.find_earliest_fit(step, workers, now)
+        fit = self.find_earliest_fit(step, workers, now, may_spread=False)
         if can_wait(step, fit, now, wall_time):
             self.holds.hold_for_now(fit, now)
             return []
@@ -580,23 +762,14 @@
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
-        free_of = self.free_resources_for(step)
         candidates = self.isolation.permitted(step, self.candidate_workers(step, workers, now))
-        groups = group_by_rack(candidates).values() if step.spec.is_rack_local else [candidates]
-        affordable = self.team_limits.affordable_tasks(step)
-        cost_of = self.stop_costs.of
-        options = [
-            cheapest_preemption(step, group, free_of, cost_of, affordable) for group in groups
-        ]
-        cheapest = min(
-            (option for option in options if option is not None),
-            key=lambda option: option.cost,
-            default=None,
-        )
+        cheapest = self.find_preemption(step, candidates)
+        is_covered = step.job.spec.id in self.covered
+        if cheapest is None and step.spec.is_rack_local and is_covered:
+            cheapest = self.find_preemption(step, candidates, may_spread=True)
         if cheapest is None:
             return []
         is_late = self.valuation.value_share(step.job, wall_time) < 1.0
-        is_covered = step.job.spec.id in self.covered
         loses_more = cheapest.cost > self.valuation.value_now(step.job, wall_time)
         if is_late and loses_more and not is_covered:
             return []
@@ -608,6 +781,28 @@
         )
         return [run for run in to_stop if self.cluster_state.mark_stopping(run)]
 
+    def find_preemption(
+        self, step: StepState, workers: list[Worker], may_spread: bool = False
+    ) -> Preemption | None:
+        """Return the cheapest set of runs to stop so that a step fits, ``None`` if there is none.
+
+        :param workers: workers that the step may use.
+        :param may_spread: whether a rack-local step need not fit in one rack.
+        """
+        is_local = step.spec.is_rack_local and not may_spread
+        groups = group_by_rack(workers).values() if is_local else [workers]
+        free_of = self.free_resources_for(step)
+        affordable = self.team_limits.affordable_tasks(step)
+        options = (
+            cheapest_preemption(step, group, free_of, self.stop_costs.of, affordable)
+            for group in groups
+        )
+        return min(
+            (option for option in options if option is not None),
+            key=lambda option: option.cost,
+            default=None,
+        )
+
     # Statistics
 
     def count_queued_jobs(self) -> Counter[str]:
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -55,6 +55,7 @@
         others: this leader has started it, and it has not worked for long.
     :param is_timed: whether ``now - started_at`` is its duration when it succeeds: this leader has
         started it, without a checkpoint.
+    :param slowdown: factor by which it takes longer where it was placed.
     :param is_stopping: whether the run has been marked to be stopped.
     :param stopping_born: Unix time in milliseconds at which the process started that is to stop it.
     :param percent: newest reported progress in percent.
@@ -82,6 +83,7 @@
     is_listed: bool = False
     is_on_probation: bool = False
     is_timed: bool = False
+    slowdown: float = 1.0
     is_stopping: bool = False
     stopping_born: int = 0
     percent: float = 0.0
@@ -128,7 +130,7 @@
         """
         if self.step.spec.lasts:
             return math.inf
-        duration = self.step.expected_seconds / self.worker.speed
+        duration = self.slowdown * self.step.expected_seconds / self.worker.speed
         if self.relative_speed:
             measured = self.step.spec.estimated_seconds / self.relative_speed
             duration = min(4.0 * duration, max(0.25 * duration, measured))
--- a/src/jaypier/platform/settings.py
+++ b/src/jaypier/platform/settings.py
@@ -72,6 +72,7 @@
         "grace": "GracePeriodS",
         "status": "status_s",
     }
+    slowdown = float(values.get("RemoteFactor", default.spread_slowdown))
     return Bounds(
         **{
             name: values[key] / 1000 if key in values else getattr(default, name)
@@ -81,4 +82,5 @@
             name: float(values.get(key, getattr(default, name)))
             for name, key in seconds_keys.items()
         },
+        spread_slowdown=slowdown,
     )
--- a/src/jaypier/platform/tests/test_settings.py
+++ b/src/jaypier/platform/tests/test_settings.py
@@ -44,6 +44,11 @@
         assert settings.bounds.grace == 6.0
         assert settings.capacity == CapacitySettings(memory_mb=200, descriptors=8192)
 
+    def test_slowdown_on_several_racks_is_decoded(self, tmp_path):
+        assert self.load(tmp_path, TEXT).bounds.spread_slowdown == 3.0
+        settings = self.load(tmp_path, f"{TEXT}RemoteFactor = 2.5\n")
+        assert settings.bounds.spread_slowdown == 2.5
+
     def test_capacity_has_defaults(self, tmp_path):
         settings = self.load(
             tmp_path, TEXT.replace("MaxFds = 8192", "").replace("MemoryLimitMb", "Other")
--- a/src/jaypier/scheduling/rooms.py
+++ b/src/jaypier/scheduling/rooms.py
@@ -76,13 +76,23 @@
         return self.are_busy[service]
 
 
-def least_used_share(workers: Iterable[Worker]) -> float:
-    """Return the share in use of the resource of which the workers use least."""
+def used_shares(workers: Iterable[Worker]) -> list[float]:
+    """Return the share in use of each resource that the workers have."""
     capacity, free = Resources(), Resources()
     for worker in workers:
         capacity, free = capacity + worker.entry.capacity, free + worker.free
     used = zip(shares(free, capacity), attrs.astuple(capacity), strict=True)
-    return min((1 - left for left, owned in used if owned > 0), default=0.0)
+    return [1 - left for left, owned in used if owned > 0]
+
+
+def least_used_share(workers: Iterable[Worker]) -> float:
+    """Return the share in use of the resource of which the workers use least."""
+    return min(used_shares(workers), default=0.0)
+
+
+def most_used_share(workers: Iterable[Worker]) -> float:
+    """Return the share in use of the resource of which the workers use most."""
+    return max(used_shares(workers), default=0.0)
 
 
 def step_room_seconds(step: StepState, capacity: Resources) -> float:
