--- a/src/jaypier/jobs/cluster_state.py
+++ b/src/jaypier/jobs/cluster_state.py
@@ -262,8 +262,8 @@
             if state.spec.repeats == 0 or state.status.is_final:
                 continue
             for number, steps in list(state.occurrences.items()):
-                if all(step.is_done and not step.runs for step in steps):
-                    del state.occurrences[number]
+                if not state.undone[number] and not any(step.active for step in steps):
+                    state.close_occurrence(number)
             tasks = sum(step.count for step in state.spec.steps)
             limit = min(MAX_OPEN_OCCURRENCES, max(1, MAX_OPEN_TASKS // tasks))
             while (
@@ -532,8 +532,7 @@
         reconciled.
         """
         for state in self.jobs.values():
-            can_start = any(step.waiting and step.is_startable for step in state.steps)
-            may_have_lost = can_start or not any(state.runs)
+            may_have_lost = bool(state.ready_steps) or not state.run_count
             if state.is_recovered and state.has_started and may_have_lost:
                 self.end_unrepeatable_job(state)
 
@@ -549,7 +548,7 @@
             # The row may still name it among the runs that may crash their workers.
             self.dirty_jobs.add(run.task.job_id)
         if step.spec.is_gang:
-            step.is_tearing_down = bool(step.runs)
+            step.is_tearing_down = bool(step.active)
 
     def apply_report(
         self, worker: Worker, report: WorkerReport, sent_at: float, now: float
@@ -627,9 +626,9 @@
         for task_id in worker.unknown_tasks | tasks:
             found = self.find_task(task_id)
             if found is not None and task_id in tasks:
-                found[1].unknown_on.add(worker)
+                found[1].unknown_on |= {worker}
             elif found is not None:
-                found[1].unknown_on.discard(worker)
+                found[1].unknown_on -= {worker}
         worker.unknown_tasks = tasks
 
     def find_late_starts(
@@ -767,7 +766,8 @@
         """
         if step.spec.lasts:
             return
-        for each in step.tasks if step.spec.is_gang else [task]:
+        finished = step.tasks if step.spec.is_gang else [task]
+        for each in () if step.is_done else finished:
             each.is_done = True
             each.checkpoint = ""
             step.job.crash_suspects.discard(each.id)
--- a/src/jaypier/jobs/explaining.py
+++ b/src/jaypier/jobs/explaining.py
@@ -127,15 +127,11 @@
     """
     view = copy_for_reading(planner, state, now)
     workers = view.usable_workers(now)
-    ranked = [
-        each
-        for each in view.rank_jobs(now, wall_time)
-        if any(step.is_startable and step.waiting for step in each.steps)
-    ]
+    ranked = [each for each in view.rank_jobs(now, wall_time) if each.ready_steps]
     spec = state.spec
     rank = next((place for place, each in enumerate(ranked, 1) if each is state), None)
     cannot_start = why_left_out(state, view.cluster_state, now)
-    is_expired = spec.id in view.expired
+    is_expired = spec.id not in view.covered and view.valuation.is_expired(state, wall_time)
     if not cannot_start and is_expired and rank is not None:
         contended = contended_pools(view, ranked[: rank - 1], workers)
         if contended.contains(spec.service, workers):
@@ -197,7 +193,7 @@
     view.team_limits = copy.copy(planner.team_limits)
     view.team_limits.held = defaultdict(Resources, planner.team_limits.held)
     view.eligible = view.eligible_workers(now)
-    view.idle_pools, view.fits_elsewhere = {}, {}
+    view.idle_pools, view.fits_elsewhere, view.non_preemptible = {}, {}, None
     view.reservations = [
         each
         for each in planner.reservations
@@ -228,8 +224,7 @@
     contended = ContendedPools()
     for state in ranked_before:
         if state.spec.id not in view.expired and any(
-            step.is_startable and step.waiting and not why_blocked(view, step, workers)
-            for step in state.steps
+            not why_blocked(view, step, workers) for step in state.ready_steps
         ):
             contended.add(state.spec.service)
     return contended
--- a/src/jaypier/jobs/model.py
+++ b/src/jaypier/jobs/model.py
@@ -179,6 +179,15 @@
         """Whether it has long-running tasks."""
         return any(step.lasts for step in self.steps)
 
+    @functools.cached_property
+    def dependants(self) -> tuple[tuple[int, ...], ...]:
+        """Indices of the steps that directly depend on each step, by its index."""
+        found: list[list[int]] = [[] for _ in self.steps]
+        for index, step in enumerate(self.steps):
+            for earlier in set(step.after):
+                found[earlier].append(index)
+        return tuple(map(tuple, found))
+
     @functools.cached_property
     def objective_seconds(self) -> float:
         """Time in seconds within which the caller expects the job to complete.
--- a/src/jaypier/jobs/planning.py
+++ b/src/jaypier/jobs/planning.py
@@ -117,6 +117,9 @@
     :ivar eligible: workers that accept new tasks in the current pass, with those to be avoided.
     :ivar idle_pools: whether the pool of a service is mostly idle, as far as asked in this pass.
     :ivar fits_elsewhere: whether there is room for a need without preferences, in the same way.
+    :ivar non_preemptible: accelerators that non-preemptible jobs hold, by team, once asked for in
+        the current pass.
+    :ivar total_accelerators: accelerators of all usable workers, in the same way.
     :ivar ended_waits: steps that have been started without preferences and not been logged yet.
     :ivar reservations: capacity that is being freed for urgent steps.
     :ivar team_limits: limits on what each team may have running.
@@ -146,6 +149,8 @@
         self.idle_pools: dict[str, bool] = {}
         self.fits_elsewhere: dict[StepNeed, bool] = {}
         self.ended_waits: list[EndedWait] = []
+        self.non_preemptible: Counter[str] | None = None
+        self.total_accelerators = 0
         self.guarantees: dict[str, int] = {}
         self.covered: set[str] = set()
         self.expired: set[str] = set()
@@ -202,6 +207,7 @@
         self.preference_waits.refresh(now)
         self.idle_pools.clear()
         self.fits_elsewhere.clear()
+        self.non_preemptible = None
         contended = ContendedPools()
         preempting_steps = 0
         for state in self.rank_jobs(now, wall_time):
@@ -210,14 +216,12 @@
             is_expired = state.spec.id in self.expired
             if is_expired and contended.contains(state.spec.service, workers):
                 continue
-            for step in state.steps:
-                if not step.is_startable or not step.waiting:
-                    continue
+            for step in state.ready_steps:
                 if is_non_preemptible and not self.preserves_guarantees(step, workers):
                     continue
                 is_urgent = state.spec.priority == URGENT_PRIORITY
                 affordable = self.team_limits.affordable_tasks(step)
-                if affordable < len(step.waiting):
+                if affordable < step.waiting_count:
                     stops += self.wait_for_team_limit(step, now, wall_time)
                 if affordable == 0:
                     self.release_hold(step)
@@ -229,6 +233,9 @@
                     starts += started
                     self.isolation.observe_starts(started)
                     self.team_limits.observe_starts(started)
+                    if is_non_preemptible and self.non_preemptible is not None:
+                        held = len(started) * step.spec.demand.accelerators
+                        self.non_preemptible[state.spec.team] += held
                     if not step.waiting:
                         self.release_hold(step)
                         continue
@@ -277,20 +284,17 @@
         :param now: time on the local clock, in seconds.
         :param wall_time: Unix time in seconds.
         """
-        waiting = self.cluster_state.startable_jobs(now)
+        waiting = [state for state in self.cluster_state.startable_jobs(now) if state.ready]
         used = self.accelerators_by_team(lambda job: job.priority == URGENT_PRIORITY)
         covered: set[str] = set()
         urgent = [state for state in waiting if state.spec.priority == URGENT_PRIORITY]
         for state in sorted(urgent, key=lambda each: (each.spec.submitted_at, each.spec.id)):
             self.considered = state
-            if not any(step.waiting for step in state.steps):
+            ready = state.ready_steps
+            if not ready:
                 continue
             team = state.spec.team
-            need = sum(
-                step.spec.demand.accelerators * len(step.waiting)
-                for step in state.steps
-                if step.is_startable
-            )
+            need = sum(step.spec.demand.accelerators * step.waiting_count for step in ready)
             if used[team] + need <= self.guarantees.get(team, 0):
                 used[team] += need
                 covered.add(state.spec.id)
@@ -320,10 +324,8 @@
         """
         allocated: Counter[str] = Counter()
         for state in self.cluster_state.jobs.values():
-            if is_counted(state.spec):
-                allocated[state.spec.team] += sum(
-                    run.step.spec.demand.accelerators for run in state.runs
-                )
+            if state.held_accelerators and is_counted(state.spec):
+                allocated[state.spec.team] += state.held_accelerators
         return allocated
 
     def preserves_guarantees(self, step: StepState, workers: list[Worker]) -> bool:
@@ -332,14 +334,15 @@
         The accelerators that non-preemptible jobs hold beyond their teams' guarantees must fit into
         the capacity that is not guaranteed to any team.
         """
-        non_preemptible = self.accelerators_by_team(lambda job: not job.is_preemptible)
-        non_preemptible[step.job.spec.team] += step.spec.demand.accelerators * len(step.waiting)
+        if self.non_preemptible is None:
+            self.non_preemptible = self.accelerators_by_team(lambda job: not job.is_preemptible)
+            self.total_accelerators = sum(each.entry.capacity.accelerators for each in workers)
+        added = Counter({step.job.spec.team: step.spec.demand.accelerators * step.waiting_count})
         excess = sum(
             max(0, allocated - self.guarantees.get(team, 0))
-            for team, allocated in non_preemptible.items()
+            for team, allocated in (self.non_preemptible + added).items()
         )
-        total = sum(worker.entry.capacity.accelerators for worker in workers)
-        return excess <= max(0, total - sum(self.guarantees.values()))
+        return excess <= max(0, self.total_accelerators - sum(self.guarantees.values()))
 
     def usable_workers(self, now: float) -> list[Worker]:
         """Return the workers that accept new tasks.
--- a/src/jaypier/jobs/state.py
+++ b/src/jaypier/jobs/state.py
@@ -3,8 +3,11 @@
 The local clock is the leader's monotonic clock. Clocks of workers are in milliseconds.
 """
 
+import itertools
 import math
-from collections.abc import Iterator
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Generic, TypeVar
 
 import attrs
 
@@ -18,6 +21,9 @@
     critical_path,
 )
 
+TaskKind = tuple[Resources, Resources]
+"""What a task needs and what it reserves on its worker."""
+
 CORES_PER_ACCELERATOR = 8
 """Processor cores that one accelerator counts as, according to the users' rules on wasted work."""
 
@@ -137,10 +143,67 @@
         return max(0.1, duration * (1 - self.percent / 100) - max(0.0, now - self.last_progress_at))
 
 
+Value = TypeVar("Value")
+
+
+@attrs.define
+class ByIndex(Generic[Value]):
+    """Values by index, which are iterated in the order of their indices.
+
+    :param items: values, in the order of their indices while ``is_sorted`` is set.
+    """
+
+    items: dict[int, Value] = attrs.field(factory=dict)
+    is_sorted: bool = True
+    last_index: int = -1
+
+    def add(self, index: int, value: Value) -> None:
+        """Add a value."""
+        self.is_sorted = self.is_sorted and index > self.last_index
+        self.last_index = max(self.last_index, index)
+        self.items[index] = value
+
+    def discard(self, index: int) -> None:
+        """Remove a value, if there is one."""
+        self.items.pop(index, None)
+
+    def values(self) -> Iterable[Value]:
+        """Return the values in the order of their indices."""
+        if not self.is_sorted:
+            self.items = dict(sorted(self.items.items()))
+            self.last_index = next(reversed(self.items), -1)
+            self.is_sorted = True
+        return self.items.values()
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+
+def _observe_done(task: "TaskState", attribute: attrs.Attribute, is_done: bool) -> bool:
+    if task.step is not None and is_done != task.is_done:
+        task.step.observe_done(task, is_done)
+    return is_done
+
+
+def _observe_run(task: "TaskState", attribute: attrs.Attribute, run: Run | None) -> Run | None:
+    if task.step is not None and run is not task.run:
+        task.step.observe_run(task, run)
+    return run
+
+
+def _observe_uncertainty(task: "TaskState", attribute: attrs.Attribute, value: object) -> object:
+    if task.step is not None and value:
+        task.step.uncertain[task.id.index] = task
+    return value
+
+
 @attrs.define(eq=False)
 class TaskState:
     """State of one task.
 
+    What is derived from the states of many tasks, such as how many of a step are done, is updated
+    whenever one of them changes: a pass must not look at each task of each job again.
+
     :param is_done: whether the task has succeeded.
     :param failed_attempts: numbers of the attempts that failed. A set rather than a count, because
         a worker reports an ended run again to a new leader until it is acknowledged.
@@ -158,20 +221,24 @@
         being stopped.
     :param awaits_confirmation: whether its run was lost with its worker, and the store has yet to
         confirm that no newer leader knows more of it.
+    :param step: its step.
     """
 
     id: TaskId
-    is_done: bool = False
+    is_done: bool = attrs.field(default=False, on_setattr=_observe_done)
     failed_attempts: set[int] = attrs.field(factory=set)
     crashed_attempts: set[int] = attrs.field(factory=set)
     suspected_crashes: set[int] = attrs.field(factory=set)
     restored_suspicions: frozenset[int] = frozenset()
     checkpoint: str = ""
     failed_on: set[str] = attrs.field(factory=set)
-    run: Run | None = None
-    may_run_on: tuple["Worker", ...] = ()
-    unknown_on: set["Worker"] = attrs.field(factory=set)
-    awaits_confirmation: bool = False
+    run: Run | None = attrs.field(default=None, on_setattr=_observe_run)
+    may_run_on: tuple["Worker", ...] = attrs.field(default=(), on_setattr=_observe_uncertainty)
+    unknown_on: frozenset["Worker"] = attrs.field(
+        default=frozenset(), on_setattr=_observe_uncertainty
+    )
+    awaits_confirmation: bool = attrs.field(default=False, on_setattr=_observe_uncertainty)
+    step: "StepState | None" = attrs.field(default=None, repr=False)
 
     @property
     def is_unaccounted(self) -> bool:
@@ -186,6 +253,12 @@
         return self.crashed_attempts | self.suspected_crashes | self.restored_suspicions
 
 
+def _observe_expected(step: "StepState", attribute: attrs.Attribute, seconds: float) -> float:
+    if seconds != step.expected_seconds:
+        step.job.summaries.pop(step.occurrence, None)
+    return seconds
+
+
 @attrs.define(eq=False)
 class StepState:
     """State of one step in one occurrence of a job.
@@ -201,6 +274,11 @@
         stopped.
     :param expected_seconds: expected duration of one task on a worker of speed 1: the caller's
         estimate, until runs of the queue have shown how far its estimates are off.
+    :ivar done_count: number of its tasks that have succeeded.
+    :ivar idle: its tasks that have neither succeeded nor a run.
+    :ivar active: current runs of its tasks.
+    :ivar uncertain: its tasks that have been unaccounted for, by index.
+    :ivar unmet: number of steps that it depends on and that are not done.
     """
 
     job: "JobState"
@@ -212,27 +290,43 @@
     done_attempt: int = 0
     is_tearing_down: bool = False
     expected_seconds: float = attrs.field(
-        default=attrs.Factory(lambda self: self.spec.estimated_seconds, takes_self=True)
+        default=attrs.Factory(lambda self: self.spec.estimated_seconds, takes_self=True),
+        on_setattr=_observe_expected,
     )
+    done_count: int = attrs.field(default=0, init=False)
+    idle: ByIndex[TaskState] = attrs.field(factory=ByIndex, init=False, repr=False)
+    active: ByIndex[Run] = attrs.field(factory=ByIndex, init=False, repr=False)
+    uncertain: dict[int, TaskState] = attrs.field(factory=dict, init=False, repr=False)
+    unmet: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        for index, task in enumerate(self.tasks):
+            task.step = self
+            self.idle.items[index] = task
+        self.idle.last_index = len(self.tasks) - 1
+        self.unmet = len(set(self.spec.after))
 
     @property
     def is_done(self) -> bool:
         """Whether all tasks have succeeded."""
-        return all(task.is_done for task in self.tasks)
+        return self.done_count == len(self.tasks)
 
     @property
     def waiting(self) -> list[TaskState]:
         """Tasks that have neither succeeded nor a run, nor may have an unknown run."""
-        return [
-            task
-            for task in self.tasks
-            if not task.is_done and task.run is None and not task.is_unaccounted
-        ]
+        if not self.uncertain:
+            return list(self.idle.values())
+        return [task for task in self.idle.values() if not task.is_unaccounted]
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of these tasks."""
+        return len(self.idle) if not self.uncertain else len(self.waiting)
 
     @property
     def runs(self) -> list[Run]:
         """Current runs of its tasks, all of which hold capacity."""
-        return [task.run for task in self.tasks if task.run is not None]
+        return list(self.active.values())
 
     @property
     def is_startable(self) -> bool:
@@ -241,15 +335,44 @@
         This requires that the steps it depends on are done and, for a gang, that no run of an
         earlier attempt is left.
         """
-        if self.spec.is_gang and (self.is_tearing_down or self.runs or self.has_unaccounted):
+        if self.unmet:
             return False
-        siblings = self.job.occurrences[self.occurrence]
-        return all(siblings[number].is_done for number in self.spec.after)
+        return not self.spec.is_gang or not (
+            self.is_tearing_down or self.active or self.has_unaccounted
+        )
 
     @property
     def has_unaccounted(self) -> bool:
         """Whether a run of any of its tasks, or how it has ended, may not be known."""
-        return any(task.is_unaccounted for task in self.tasks)
+        return any(task.is_unaccounted for task in self.uncertain.values())
+
+    def observe_done(self, task: TaskState, is_done: bool) -> None:
+        """Take note that a task is about to count as done, or not to."""
+        was_done = self.is_done
+        self.done_count += 1 if is_done else -1
+        if is_done:
+            self.idle.discard(task.id.index)
+        elif task.run is None:
+            self.idle.add(task.id.index, task)
+        self.job.summaries.pop(self.occurrence, None)
+        if self.is_done != was_done:
+            self.job.observe_step_done(self)
+        self.job.update_ready(self)
+
+    def observe_run(self, task: TaskState, run: Run | None) -> None:
+        """Take note that a task is about to get a run, or to lose it."""
+        index = task.id.index
+        change = (run is not None) - (task.run is not None)
+        self.job.run_count += change
+        self.job.held_accelerators += change * self.spec.demand.accelerators
+        if run is not None:
+            self.active.add(index, run)
+            self.idle.discard(index)
+        else:
+            self.active.discard(index)
+            if not task.is_done:
+                self.idle.add(index, task)
+        self.job.update_ready(self)
 
     @property
     def unavailable_count(self) -> int:
@@ -295,6 +418,11 @@
     :param ended_at: time on the local clock, in seconds, at which its end was recorded in the
         store, or read from it by a new leader; ``inf`` before.
     :param crash_suspects: its tasks that may crash their workers, until they have worked on one.
+    :ivar run_count: number of its current runs.
+    :ivar held_accelerators: number of accelerators that these hold.
+    :ivar summaries: what is derived from its steps, by occurrence, until one of these changes.
+    :ivar ready: steps with idle tasks whose earlier steps are done.
+    :ivar undone: number of steps that are not done, by occurrence.
     """
 
     spec: Job
@@ -311,6 +439,11 @@
     recorded_attempt: int = 0
     ended_at: float = math.inf
     crash_suspects: set[TaskId] = attrs.field(factory=set)
+    run_count: int = attrs.field(default=0, init=False)
+    held_accelerators: int = attrs.field(default=0, init=False)
+    summaries: dict[int, "OccurrenceSummary"] = attrs.field(factory=dict, init=False, repr=False)
+    ready: dict[StepState, None] = attrs.field(factory=dict, init=False, repr=False)
+    undone: dict[int, int] = attrs.field(factory=dict, init=False, repr=False)
 
     @property
     def steps(self) -> list[StepState]:
@@ -323,7 +456,7 @@
     def is_done(self) -> bool:
         """Whether all occurrences have succeeded."""
         has_opened_all = self.next_occurrence >= max(1, self.spec.repeats)
-        return has_opened_all and all(step.is_done for step in self.steps)
+        return has_opened_all and not any(self.undone[number] for number in self.occurrences)
 
     @property
     def earliest_start_at(self) -> float:
@@ -334,7 +467,9 @@
         return self.spec.earliest_start_at(min(self.occurrences, default=self.next_occurrence))
 
     def open_occurrence(self, number: int) -> None:
-        """Add the steps and tasks of an occurrence that is due."""
+        """Add the steps and tasks of an occurrence that is due, anew if it is open already."""
+        if number in self.occurrences:
+            self.close_occurrence(number)
         job_id = self.spec.id
         self.occurrences[number] = [
             StepState(
@@ -347,12 +482,56 @@
             for position, step in enumerate(self.spec.steps)
         ]
         self.next_occurrence = max(self.next_occurrence, number + 1)
+        self.undone[number] = len(self.spec.steps)
+        self.summaries.pop(number, None)
+        for step in self.occurrences[number]:
+            self.update_ready(step)
+
+    def close_occurrence(self, number: int) -> None:
+        """Remove the steps and tasks of an occurrence."""
+        for step in self.occurrences.pop(number):
+            self.ready.pop(step, None)
+        self.undone.pop(number, None)
+        self.summaries.pop(number, None)
+
+    def observe_step_done(self, step: StepState) -> None:
+        """Take note that a step has just become done, or is not done any more."""
+        change = 1 if step.is_done else -1
+        self.undone[step.occurrence] -= change
+        siblings = self.occurrences.get(step.occurrence)
+        if siblings is None:
+            return
+        for number in self.spec.dependants[step.number]:
+            siblings[number].unmet -= change
+            self.update_ready(siblings[number])
+
+    def update_ready(self, step: StepState) -> None:
+        """Update whether a step has idle tasks that do not wait for earlier steps."""
+        if step.unmet == 0 and step.idle:
+            self.ready[step] = None
+        else:
+            self.ready.pop(step, None)
+
+    @property
+    def ready_steps(self) -> list[StepState]:
+        """Steps with tasks that may be assigned, in the order of occurrences and steps."""
+        ordered = sorted(self.ready, key=lambda step: (step.occurrence, step.number))
+        return [step for step in ordered if step.is_startable and step.waiting_count]
 
     @property
     def runs(self) -> Iterator[Run]:
         """Current runs of all its tasks."""
         return (run for step in self.steps for run in step.runs)
 
+    def summary(self, number: int) -> "OccurrenceSummary":
+        """Return what is derived from the steps of an open occurrence."""
+        found = self.summaries.get(number)
+        if found is None:
+            found = self.summaries[number] = summarize_occurrence(
+                self.spec, self.occurrences[number]
+            )
+        return found
+
     @property
     def objective_seconds(self) -> float:
         """Time in seconds within which the job should complete, by its expected durations.
@@ -362,31 +541,84 @@
         """
         if not self.occurrences:
             return self.spec.objective_seconds
-        steps = self.occurrences[min(self.occurrences)]
-        chain_seconds = critical_path(self.spec.steps, [step.expected_seconds for step in steps])
+        chain_seconds = self.summary(min(self.occurrences)).chain_seconds
         return self.spec.slack_factor * chain_seconds + self.spec.target_seconds
 
     def remaining_core_seconds(self) -> float:
         """Return the estimated core-seconds of all tasks in open occurrences that are not done."""
         return sum(
-            core_equivalent(step.spec.demand)
-            * step.expected_seconds
-            * sum(not task.is_done for task in step.tasks)
-            for step in self.steps
+            seconds * core_equivalent(demand)
+            for (demand, _), seconds in self.remaining_task_seconds().items()
         )
 
+    def total_core_seconds(self) -> float:
+        """Return the estimated core-seconds of all tasks in open occurrences."""
+        return sum(
+            seconds * core_equivalent(demand)
+            for (demand, _), seconds in self.total_task_seconds().items()
+        )
+
+    def remaining_task_seconds(self) -> Mapping[TaskKind, float]:
+        """Return how long the tasks that are not done take together, by what one of them needs."""
+        return add_up([self.summary(number).remaining for number in self.occurrences])
+
+    def total_task_seconds(self) -> Mapping[TaskKind, float]:
+        """Return how long all tasks of open occurrences take together, in the same form."""
+        return add_up([self.summary(number).total for number in self.occurrences])
+
     def remaining_critical_path_seconds(self) -> float:
         """Return the longest remaining critical path of the open occurrences, in seconds."""
-        paths = [
-            critical_path(
-                self.spec.steps,
-                [0.0 if step.is_done else step.expected_seconds for step in steps],
-            )
-            for steps in self.occurrences.values()
-        ]
+        paths = (self.summary(number).remaining_seconds for number in self.occurrences)
         return max(paths, default=0.0)
 
 
+@attrs.frozen
+class OccurrenceSummary:
+    """What is derived from the steps of one occurrence of a job.
+
+    :param chain_seconds: length of its critical path.
+    :param remaining_seconds: length of the critical path through the steps that are not done.
+    :param total: expected duration of all tasks together, by what one of them needs.
+    :param remaining: the same of the tasks that are not done.
+    """
+
+    chain_seconds: float
+    remaining_seconds: float
+    total: Mapping[TaskKind, float]
+    remaining: Mapping[TaskKind, float]
+
+
+def summarize_occurrence(job: Job, steps: list[StepState]) -> OccurrenceSummary:
+    """Return what is derived from the steps of an occurrence.
+
+    :param steps: all steps of the occurrence.
+    """
+    total: dict[TaskKind, float] = defaultdict(float)
+    remaining: dict[TaskKind, float] = defaultdict(float)
+    for step in steps:
+        kind = (step.spec.demand, step.spec.reserved)
+        total[kind] += len(step.tasks) * step.expected_seconds
+        remaining[kind] += (len(step.tasks) - step.done_count) * step.expected_seconds
+    durations = [step.expected_seconds for step in steps]
+    left = [0.0 if step.is_done else step.expected_seconds for step in steps]
+    return OccurrenceSummary(
+        critical_path(job.steps, durations),
+        critical_path(job.steps, left),
+        total,
+        remaining,
+    )
+
+
+def add_up(parts: Sequence[Mapping[TaskKind, float]]) -> Mapping[TaskKind, float]:
+    """Return the sums of the values of each key."""
+    if len(parts) == 1:
+        return parts[0]
+    sums: dict[TaskKind, float] = defaultdict(float)
+    for key, value in itertools.chain.from_iterable(part.items() for part in parts):
+        sums[key] += value
+    return sums
+
+
 @attrs.define(eq=False)
 class Worker:
     """State of one worker.
--- a/src/jaypier/jobs/valuation.py
+++ b/src/jaypier/jobs/valuation.py
@@ -10,7 +10,7 @@
 import attrs
 
 from jaypier.jobs.model import Resources
-from jaypier.jobs.state import JobState, Worker, core_equivalent
+from jaypier.jobs.state import JobState, Worker
 from jaypier.scheduling.rooms import remaining_room_seconds, typical_capacities
 
 MAX_SIZE_FACTOR = 4.0
@@ -106,7 +106,7 @@
         """
         chain = state.remaining_critical_path_seconds()
         value = self.value_in_time(state) * self.share_at(state, wall_time + chain)
-        if state.has_started and not any(state.runs):
+        if state.has_started and not state.run_count:
             value *= INTERRUPTED_FACTOR
         age = wall_time - state.earliest_start_at
         urgency = urgency_of(state.spec.objective_seconds - age - chain, chain)
@@ -124,11 +124,7 @@
         _, mean = self.mean_core_seconds.get(state.spec.queue, (0, 0.0))
         if mean <= 0:
             return weight
-        total_core_seconds = sum(
-            step.spec.count * step.expected_seconds * core_equivalent(step.spec.demand)
-            for step in state.steps
-        )
-        return weight * min(MAX_SIZE_FACTOR, 0.3 + 0.7 * total_core_seconds / mean)
+        return weight * min(MAX_SIZE_FACTOR, 0.3 + 0.7 * state.total_core_seconds() / mean)
 
     def value_now(self, state: JobState, wall_time: float) -> float:
         """Return the value of a job that runs without interruption from now.
--- a/src/jaypier/scheduling/durations.py
+++ b/src/jaypier/scheduling/durations.py
@@ -185,7 +185,7 @@
         """Set the expected duration of steps by what their queues and they themselves show."""
         for step in steps:
             estimate = step.spec.estimated_seconds
-            if estimate <= 0 or step.spec.lasts:
+            if estimate <= 0 or step.spec.lasts or step.is_done:
                 continue
             fit = self.fits.get(step.job.spec.queue)
             correction = fit.correction(math.log(estimate)) if fit is not None else 0.0
@@ -362,9 +362,8 @@
     limit = 1 if step.spec.is_gang else MAX_COMPARED_RUNS
     projected = (
         run
-        for task in step.tasks
-        if (run := task.run) is not None
-        and run.relative_speed
+        for run in step.active.values()
+        if run.relative_speed
         and run.percent >= MIN_PROJECTED_PERCENT
         and run.worker.slow_since == math.inf
     )
--- a/src/jaypier/scheduling/overload.py
+++ b/src/jaypier/scheduling/overload.py
@@ -176,7 +176,7 @@
             pools.setdefault(worker.entry.service, []).append(worker)
         queued: dict[str, list[JobState]] = {service: [] for service in pools}
         for state in jobs:
-            waits = not any(state.runs) and not self.valuation.is_expired(state, wall_time)
+            waits = not state.run_count and not self.valuation.is_expired(state, wall_time)
             if waits and state.spec.service in queued:
                 queued[state.spec.service].append(state)
         loads = {}
--- a/src/jaypier/scheduling/rooms.py
+++ b/src/jaypier/scheduling/rooms.py
@@ -6,12 +6,12 @@
 
 import functools
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 from jaypier.jobs.model import Resources
-from jaypier.jobs.state import JobState, StepState, Worker
+from jaypier.jobs.state import JobState, TaskKind, Worker
 
 MIN_CONTENDED_SHARE = 0.6
 """Share of each resource of a pool that is in use when its room counts as contended: callers are
@@ -95,29 +95,28 @@
     return max(used_shares(workers), default=0.0)
 
 
-def step_room_seconds(step: StepState, capacity: Resources) -> float:
-    """Return the room that the tasks of a step that are not done still need, in worker-seconds.
+def remaining_room_seconds(state: JobState, capacity: Resources) -> float:
+    """Return the room that the open occurrences of a job still need, in worker-seconds.
 
     :param capacity: capacity of a typical worker.
     """
-    remaining = sum(not task.is_done for task in step.tasks)
-    return remaining * step.expected_seconds * room_share(step.spec.reserved, capacity)
+    return room_seconds(state.remaining_task_seconds(), capacity)
 
 
-def remaining_room_seconds(state: JobState, capacity: Resources) -> float:
-    """Return the room that the open occurrences of a job still need, in worker-seconds.
+def total_room_seconds(state: JobState, capacity: Resources) -> float:
+    """Return the room that the open occurrences of a job need in all, in worker-seconds.
 
     :param capacity: capacity of a typical worker.
     """
-    return sum(step_room_seconds(step, capacity) for step in state.steps)
+    return room_seconds(state.total_task_seconds(), capacity)
 
 
-def total_room_seconds(state: JobState, capacity: Resources) -> float:
-    """Return the room that the open occurrences of a job need in all, in worker-seconds.
+def room_seconds(task_seconds: Mapping[TaskKind, float], capacity: Resources) -> float:
+    """Return the room that tasks need, in worker-seconds.
 
+    :param task_seconds: how long tasks take together, by what one of them needs and reserves.
     :param capacity: capacity of a typical worker.
     """
     return sum(
-        step.spec.count * step.expected_seconds * room_share(step.spec.reserved, capacity)
-        for step in state.steps
+        seconds * room_share(reserved, capacity) for (_, reserved), seconds in task_seconds.items()
     )
--- a/src/jaypier/scheduling/team_limits.py
+++ b/src/jaypier/scheduling/team_limits.py
@@ -129,7 +129,7 @@
 
     def affordable_tasks(self, step: StepState) -> int:
         """Return how many waiting tasks of a step may start; of a gang all or none."""
-        waiting = len(step.waiting)
+        waiting = step.waiting_count
         if self.is_pending:
             return 0
         if not self.is_active:
@@ -152,7 +152,7 @@
     def has_waited_long(self, step: StepState) -> bool:
         """Whether a step may start in spite of a claim, as its team holds little of its limit."""
         state = step.job
-        if any(state.runs) or self.now - state.added_at < MAX_CLAIM_WAIT_SECONDS:
+        if state.run_count or self.now - state.added_at < MAX_CLAIM_WAIT_SECONDS:
             return False
         twice_held = multiply(self.held[state.spec.team], 2)
         return is_within_limit(twice_held, self.limits[state.spec.team])
@@ -221,7 +221,7 @@
 
     def observe_blocked(self, step: StepState) -> None:
         """Record that the limit of its team keeps tasks of a step from starting."""
-        blocked = len(step.waiting) - self.affordable_tasks(step)
+        blocked = step.waiting_count - self.affordable_tasks(step)
         if blocked > 0:
             self.blocked[step.job.spec.team] += blocked
 
--- a/src/jaypier/scheduling/team_shares.py
+++ b/src/jaypier/scheduling/team_shares.py
@@ -161,9 +161,9 @@
             use.waiting = 0.0
         for state in jobs:
             self.uses[state.spec.team].waiting += sum(
-                len(step.waiting) * step.expected_seconds * dominant_share(step.spec.demand, total)
-                for step in state.steps
-                if step.is_startable and not step.spec.lasts
+                step.waiting_count * step.expected_seconds * dominant_share(step.spec.demand, total)
+                for step in state.ready_steps
+                if not step.spec.lasts
             )
 
     def owed_share(self, team: str, equal_demand: float) -> float:
